--- a/puffinspindle/adapter.py
+++ b/runloft/adapter.py
@@ -1,7 +1,7 @@
 """Runs many schedulers on the simulator's pipe, each apart from the others.
 
 It translates between the wire's records and the contract's types, and decides nothing.
-Run it as ``python -m puffinspindle.adapter``.
+Run it as ``python -m runloft.adapter``.
 """
 
 import math
@@ -9,8 +9,9 @@
 from collections.abc import Callable
 from typing import BinaryIO
 
-from puffinspindle import contract, wire
-from puffinspindle.policy import Scheduler
+from runloft import sim_wire as wire
+from runloft.decisions import contract
+from runloft.decisions.policy import Scheduler
 
 EFFECTS = {"retryable": contract.Effect.SAFE, "dedup": contract.Effect.KEYED}
 GROUPS = {"all": contract.Group.ALL, "zone": contract.Group.ZONE}
@@ -262,7 +263,7 @@
     try:
         serve(sys.stdin.buffer, sys.stdout.buffer)
     except wire.WireError as error:
-        print(f"puffinspindle: {error}", file=sys.stderr)
+        print(f"runloft: {error}", file=sys.stderr)
         return 1
     return 0
 
--- a/puffinspindle/policy.py
+++ b/runloft/decisions/policy.py
@@ -9,12 +9,12 @@
 from collections.abc import Sequence
 from dataclasses import replace
 
-from puffinspindle.contract import (
+from runloft.decisions.contract import (
     Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Group, ListKind, NodeEntry, NodeList,
     NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted, Subscribe,
     Timer, TimerFired,
 )  # fmt: skip
-from puffinspindle.state import SlidingSum, Ticket
+from runloft.decisions.state import SlidingSum, Ticket
 
 SECOND = 1_000_000_000
 ALPHA = 0.1  # weight of the newest rate sample; one sample covers a tightest aim of busy time
--- a/puffinspindle/state.py
+++ b/runloft/decisions/state.py
@@ -2,7 +2,7 @@
 
 from collections import deque
 
-from puffinspindle.contract import ClassSettings, Request
+from runloft.decisions.contract import ClassSettings, Request
 
 
 class Ticket:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -2,7 +2,7 @@
 
 import heapq
 
-from puffinspindle.contract import (
+from runloft.decisions.contract import (
     Action,
     ClassSettings,
     Effect,
@@ -22,7 +22,7 @@
     Timer,
     TimerFired,
 )
-from puffinspindle.policy import Scheduler
+from runloft.decisions.policy import Scheduler
 
 MS = 1_000_000
 SECOND = 1000 * MS
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -5,7 +5,7 @@
 
 import pytest
 
-from puffinspindle.contract import (
+from runloft.decisions.contract import (
     ClientGone,
     Effect,
     Ending,
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from puffinspindle.contract import (
+from runloft.decisions.contract import (
     Cancel,
     ClientGone,
     Effect,
--- a/tests/test_wire.py
+++ b/tests/test_wire.py
@@ -7,9 +7,9 @@
 
 import pytest
 
-from puffinspindle import wire
-from puffinspindle.adapter import Adapter, settings_from_wire
-from puffinspindle.contract import Effect, Group
+from runloft import sim_wire as wire
+from runloft.adapter import Adapter, settings_from_wire
+from runloft.decisions.contract import Effect, Group
 
 SETUP = b"""Classes.count=1
 Classes.0.Target=100000000
@@ -92,7 +92,7 @@
 
 
 def run(stdin: bytes) -> subprocess.CompletedProcess[bytes]:
-    command = [sys.executable, "-m", "puffinspindle.adapter"]
+    command = [sys.executable, "-m", "runloft.adapter"]
     return subprocess.run(command, input=stdin, capture_output=True, timeout=30)
 
 
@@ -120,7 +120,7 @@
 def test_a_bad_frame_ends_the_process_with_one_line(bad):
     done = run(bad)
     assert done.returncode != 0 and done.stdout == b""
-    assert done.stderr.startswith(b"puffinspindle: ") and done.stderr.count(b"\n") == 1
+    assert done.stderr.startswith(b"runloft: ") and done.stderr.count(b"\n") == 1
 
 
 def test_an_exception_in_the_decisions_is_reported_as_a_fault():
