--- /dev/null
+++ b/Makefile
@@ -0,0 +1,12 @@
+# build, test, lint, run: the same commands that deploy/balancer.toml and .ci/run use.
+.PHONY: build test lint run
+build:
+	sh -c "$$(sed -n 's/^build = "\(.*\)"$$/\1/p' deploy/balancer.toml)"
+	.venv/bin/pip -q install -r requirements-dev.txt
+test:
+	.venv/bin/python -m pytest -q
+lint:
+	.venv/bin/ruff check .
+	.venv/bin/mypy
+run:
+	exec .venv/bin/python -m runloft serve
--- a/runloft/__init__.py
+++ b/runloft/__init__.py
@@ -1,1 +1,3 @@
-"""Decisions of a host-side I/O scheduler for a shared disk pool."""
+"""A host-side I/O scheduler for storage nodes."""
+
+__version__ = "0.1.0"
--- a/runloft/adapter.py
+++ b/runloft/adapter.py
@@ -4,7 +4,6 @@
 Run it as ``python -m runloft.adapter``.
 """
 
-import math
 import sys
 from collections.abc import Callable
 from typing import BinaryIO
@@ -12,9 +11,8 @@
 from runloft import sim_wire as wire
 from runloft.decisions import contract
 from runloft.decisions.policy import Scheduler
+from runloft.settings import settings_from_wire
 
-EFFECTS = {"retryable": contract.Effect.SAFE, "dedup": contract.Effect.KEYED}
-GROUPS = {"all": contract.Group.ALL, "zone": contract.Group.ZONE}
 ENDINGS = {
     200: contract.Ending.OK,
     500: contract.Ending.ERROR,
@@ -32,100 +30,9 @@
     contract.ListKind.FAILED,
 )
 STATES = {0: contract.NodeState.READY, 2: contract.NodeState.DRAINING, 3: contract.NodeState.GONE}
-REPORT_FIELDS = {
-    "rif": "inflight",
-    "q": "queue",
-    "busy": "util",
-    "lat_ms": "latency_ms",
-    "rate": "served_per_s",
-    "fail_rate": "errors_per_s",
-}
 IS_RETRY, IS_WRITE = 2, 4
 
 
-def settings_from_wire(raw: dict[str, str]) -> contract.Settings:
-    """Translate the first message; keys it does not know are passed over, absent ones are zero."""
-
-    def number(path: str, default: float = 0.0) -> float:
-        try:
-            value = float(raw.get(path, default))
-        except ValueError:
-            return default
-        return value if math.isfinite(value) else default
-
-    def integer(path: str, default: int = 0) -> int:
-        return int(number(path, default))
-
-    def flag(path: str) -> bool:
-        return raw.get(path) == "true"
-
-    writes = raw.get("Extra.ClassWrites", "").split(",")
-    classes = []
-    for index in range(integer("Classes.count")):
-        path = f"Classes.{index}."
-        deadline = integer(path + "HardLimit")
-        classes.append(
-            contract.ClassSettings(
-                aim_ns=integer(path + "Target", deadline),
-                deadline_ns=deadline,
-                worth=number(path + "Importance", 1.0),
-                late_worth=number(path + "LateValue"),
-                effect=EFFECTS.get(raw.get(path + "Effect", ""), contract.Effect.UNSAFE),
-                group=GROUPS.get(raw.get(path + "Group", ""), contract.Group.SHARD),
-                window_ns=integer(path + "Window"),
-                in_order=flag(path + "InTurn"),
-                streamed=flag(path + "Streamed"),
-                writes=index < len(writes) and writes[index] == "true",
-            )
-        )
-    plans = []
-    for index in range(integer("ServiceLevels.count")):
-        path = f"ServiceLevels.{index}."
-        plans.append(
-            contract.PlanSettings(
-                rate=number(path + "BaseRate"),
-                reserve=number(path + "Guaranteed"),
-                weight=number(path + "Parts", 1.0),
-                price=number(path + "ValueFactor", 1.0),
-                limit=number(path + "Limit"),
-                limit_burst=number(path + "LimitBurst"),
-                limit_slack=number(path + "Slack"),
-            )
-        )
-    names = raw.get("Feedback.Fields", "").split(",")
-    return contract.Settings(
-        classes=tuple(classes),
-        plans=tuple(plans),
-        hosts=integer("GroupSize", 1),
-        host_number=integer("SlotNo"),
-        tick_ns=integer("Tick", 1_000_000),
-        mean_units=number("Extra.UsualUnits", 1.0),
-        max_units=number("Extra.MaxUnits", 1.0),
-        share_worth=number("Extra.WithinShare", 1.0),
-        spare_worth=number("Extra.BeyondShare", 1.0),
-        cold_units=number("Extra.ColdUnits"),
-        cold_from=number("Safety.ColdFrom", 1.0),
-        cold_ns=integer("Safety.Cold"),
-        fall_multiple=number("Safety.FallMultiple", 1.0),
-        fall_ns=integer("Safety.Fall"),
-        settle_ns=integer("Safety.SettleAfterDoubt"),
-        budget_free=number("Safety.ExtraFloor"),
-        budget_share=number("Safety.ResendRatio"),
-        budget_window_ns=integer("Safety.LookBack"),
-        max_attempts=integer("Limits.AttemptsCap", 1),
-        connect_timeout_ns=integer("Limits.ConnectTimeout"),
-        max_retry_after_ns=integer("Limits.MaxRetryAfter"),
-        may_cancel=flag("Limits.Cancel"),
-        may_probe=flag("Limits.MayProbe"),
-        may_duplicate=flag("Limits.MayDuplicate"),
-        list_is_asked_for=raw.get("Discovery") == "subscribe",
-        ask_every_ns=integer("Safety.AskEvery"),
-        meter_ns=integer("Extra.UsePeriod"),
-        tells_elsewhere=flag("Extra.TellsElsewhere"),
-        report_fields=tuple(REPORT_FIELDS.get(name, name) for name in names if name),
-    )
-
-
 def event_from_wire(record: wire.Record) -> contract.Event | None:
     """Translate one record; None for what the scheduler has no use for."""
     f = record.fields
--- /dev/null
+++ b/runloft/core/__init__.py
@@ -0,0 +1,1 @@
+"""The reducer: requests, attempts, outcomes and deadlines, with no wire in it."""
--- /dev/null
+++ b/runloft/core/model.py
@@ -0,0 +1,180 @@
+"""What the reducer is told (events) and what it asks for (effects), in terms of no wire.
+
+Times are nanoseconds of the one clock: Unix time at the start plus monotonic progress.
+"""
+
+from dataclasses import dataclass
+from typing import Protocol
+
+from runloft.decisions.contract import Ending, ListKind, NodeState
+
+
+class Payload(Protocol):
+    """What a link needs to write an attempt; the reducer only carries it."""
+
+    @property
+    def wire(self) -> str:
+        """The name of the link that can write it."""
+
+    @property
+    def held_bytes(self) -> int:
+        """How much memory it holds while its request is open."""
+
+
+@dataclass(frozen=True, slots=True)
+class Ask:
+    """A request as its front read it."""
+
+    klass: int
+    plan: int
+    volume: int
+    units: float
+    time_left_ns: int
+    shard: int | None
+    payload: Payload
+    key: int = 0
+    volume_hosts: float = 1.0
+    is_write: bool = False
+    is_client_retry: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class NodeNews:
+    """A storage node as discovery tells of it."""
+
+    uid: str
+    endpoint: str
+    shard: int
+    state: NodeState = NodeState.READY
+    started_ns: int = 0
+    zone: int = 0
+    rating: float = 1.0
+    object_endpoint: str = ""
+
+
+# Final answers.
+
+
+@dataclass(frozen=True, slots=True)
+class Served:
+    """The value as a storage node gave it."""
+
+    value: object
+    node: str = ""
+    shard: int = -1
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """Not served, and trying again is harmless; 0: no time named."""
+
+    retry_after_ns: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Failed:
+    """Not served; ``cause`` is how the last attempt ended, if there was one."""
+
+    cause: Ending | None = None
+
+
+Reply = Served | Refused | Failed
+
+
+class Asker(Protocol):
+    """Where a request came from; the reducer uses it as a key and hands answers to it."""
+
+    def answer(self, reply: Reply) -> None:
+        """Take the final answer, which comes once."""
+
+    def begin(self, value: object, node: str, shard: int) -> None:
+        """Take the start of a streamed answer; its end comes as the final answer."""
+
+
+# Events.
+
+
+@dataclass(frozen=True, slots=True)
+class Taken:
+    """A request was read whole."""
+
+    asker: Asker
+    ask: Ask
+
+
+@dataclass(frozen=True, slots=True)
+class Left:
+    """The client of a request went away."""
+
+    asker: Asker
+
+
+@dataclass(frozen=True, slots=True)
+class Began:
+    """An attempt's answer began and is passed on as it comes."""
+
+    attempt: int
+    value: object = None
+
+
+@dataclass(frozen=True, slots=True)
+class Ended:
+    """An attempt is over and its connection carries nothing of it any more."""
+
+    attempt: int
+    ending: Ending
+    value: object = None
+    used_percent: int | None = None
+    elsewhere_units: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """News of the storage nodes."""
+
+    kind: ListKind
+    nodes: tuple[NodeNews, ...] = ()
+
+
+Event = Taken | Left | Began | Ended | Listed
+
+
+# Effects.
+
+
+@dataclass(frozen=True, slots=True)
+class Dispatch:
+    """Write an attempt to a node; ``wait_ns`` is how long it will be waited for."""
+
+    attempt: int
+    node: NodeNews
+    payload: Payload
+    wait_ns: int
+
+
+@dataclass(frozen=True, slots=True)
+class Abandon:
+    """Close the connection of an attempt, before anything that follows is written."""
+
+    attempt: int
+
+
+@dataclass(frozen=True, slots=True)
+class Answer:
+    """Give a request its final answer."""
+
+    asker: Asker
+    reply: Reply
+
+
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Give a request the start of its streamed answer."""
+
+    asker: Asker
+    value: object
+    node: str
+    shard: int
+
+
+Effect = Dispatch | Abandon | Answer | Begin
--- /dev/null
+++ b/runloft/core/reducer.py
@@ -0,0 +1,279 @@
+"""The reducer: all state of requests and attempts changes here, and nothing is read or written.
+
+It keeps the simulator's meanings: the first OK is the client's answer, a moot send never
+leaves, every send has one outcome, and news of what has ended is passed over.
+"""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from itertools import count
+
+from runloft.core.deadlines import Deadlines, Mark
+from runloft.core.model import (
+    Abandon,
+    Answer,
+    Ask,
+    Asker,
+    Began,
+    Begin,
+    Dispatch,
+    Effect,
+    Ended,
+    Event,
+    Failed,
+    Left,
+    Listed,
+    NodeNews,
+    Refused,
+    Served,
+    Taken,
+)
+from runloft.decisions import contract
+from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
+from runloft.decisions.policy import Scheduler
+
+MAX_OPEN = 2048  # requests held at once
+MAX_HELD_BYTES = 32 << 20  # of their bodies together: memory is bounded at 192 MB
+
+
+@dataclass(slots=True, eq=False)
+class Open:
+    """A request until it is answered and none of its attempts is out."""
+
+    id: int
+    asker: Asker
+    ask: Ask
+    deadline: int
+    sends: int = 0
+    out: dict[int, int] = field(default_factory=dict)  # its number of an attempt -> the attempt
+    over: bool = False
+    streaming: bool = False
+    last: Ending | None = None
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send that has left and has no outcome yet."""
+
+    number: int
+    request: Open
+    node: int
+    sent_at: int
+    due: Mark | None = None
+
+
+@dataclass(frozen=True, slots=True)
+class AttemptDue:
+    """In the deadlines: an attempt is waited for no longer."""
+
+    attempt: int
+
+
+class Core:
+    """One scheduler's state."""
+
+    def __init__(self, settings: Settings, seed: int, now: int, deadlines: Deadlines) -> None:
+        self.settings, self.deadlines = settings, deadlines
+        self.scheduler = Scheduler(settings, seed, now)
+        self.requests: dict[int, Open] = {}
+        self.by_asker: dict[Asker, Open] = {}
+        self.attempts: dict[int, Attempt] = {}
+        self.nodes: dict[int, NodeNews] = {}
+        self.node_numbers: dict[str, int] = {}
+        self.held_bytes = 0
+        self._request_ids, self._attempt_ids = count(1), count(1)
+        self._next_turn: list[contract.Event] = []
+
+    def next_at(self, now: int) -> int | None:
+        """When the next turn is due even if nothing happens; None: not at all."""
+        return now if self._next_turn else self.deadlines.next_at()
+
+    def step(self, now: int, events: Iterable[Event]) -> list[Effect]:
+        """Take in all that has come, ask the module once, and give what is to be done, in order."""
+        effects: list[Effect] = []
+        told, self._next_turn = self._next_turn, []
+        for event in events:
+            match event:
+                case Taken(asker, ask):
+                    self._take(asker, ask, now, told, effects)
+                case Left(asker):
+                    self._leave(asker, told, effects)
+                case Began(attempt, value):
+                    self._began(attempt, value, told, effects)
+                case Ended():
+                    self._ended(event, now, told, effects)
+                case Listed(kind, nodes):
+                    told.append(self._listed(kind, nodes))
+        for item in self.deadlines.sweep(now):
+            match item:
+                case contract.TimerFired():
+                    told.append(item)
+                case AttemptDue(attempt) if attempt in self.attempts:
+                    # Closed before the module hears of it: no resend can pass a copy that is still out.
+                    effects.append(Abandon(attempt))
+                    self._ended(Ended(attempt, Ending.TIMEOUT), now, told, effects)
+                case _ if callable(item):
+                    item()
+        if told:
+            for action in self.scheduler.handle(now, told):
+                self._act(action, now, effects)
+        return effects
+
+    def _take(
+        self, asker: Asker, ask: Ask, now: int, told: list[contract.Event], effects: list[Effect]
+    ) -> None:
+        size = ask.payload.held_bytes
+        if len(self.requests) >= MAX_OPEN or self.held_bytes + size > MAX_HELD_BYTES:
+            effects.append(Answer(asker, Refused()))  # guards memory, whatever the clients do
+            return
+        request = Open(next(self._request_ids), asker, ask, now + ask.time_left_ns)
+        self.requests[request.id] = self.by_asker[asker] = request
+        self.held_bytes += size
+        told.append(
+            contract.Request(
+                id=request.id,
+                klass=ask.klass,
+                plan=ask.plan,
+                volume=ask.volume,
+                units=ask.units,
+                time_left_ns=ask.time_left_ns,
+                shard=ask.shard,
+                key=ask.key,
+                volume_hosts=ask.volume_hosts,
+                is_write=ask.is_write,
+                is_client_retry=ask.is_client_retry,
+            )
+        )
+
+    def _leave(self, asker: Asker, told: list[contract.Event], effects: list[Effect]) -> None:
+        request = self.by_asker.get(asker)
+        if request is None or request.over:
+            return
+        self._over(request)
+        if request.streaming:  # the module can't call off a started stream; its connection must go
+            for attempt in list(request.out.values()):
+                effects.append(Abandon(attempt))
+                self._next_turn.append(self._outcome(self.attempts[attempt], Ending.CANCELLED, 0))
+                self._forget(self.attempts[attempt])
+        told.append(contract.ClientGone(request.id))
+        self._tidy(request)
+
+    def _began(self, number: int, value: object, told: list[contract.Event], effects: list[Effect]) -> None:
+        attempt = self.attempts.get(number)
+        if attempt is None or attempt.request.over:
+            return
+        request, news = attempt.request, self.nodes[attempt.node]
+        self.deadlines.discard(attempt.due)
+        request.streaming, attempt.due = True, None
+        told.append(contract.StreamStarted(request.id, self._index(attempt), attempt.node))
+        effects.append(Begin(request.asker, value, news.uid, news.shard))
+
+    def _ended(self, event: Ended, now: int, told: list[contract.Event], effects: list[Effect]) -> None:
+        attempt = self.attempts.get(event.attempt)
+        if attempt is None:
+            return  # late news of what has ended
+        request, news = attempt.request, self.nodes[attempt.node]
+        request.last = event.ending
+        if not request.over and event.ending is Ending.OK:
+            self._over(request)
+            effects.append(Answer(request.asker, Served(event.value, news.uid, news.shard)))
+        elif not request.over and request.streaming:  # the client has part of it: this is the end
+            self._over(request)
+            effects.append(Answer(request.asker, Failed(event.ending)))
+        told.append(
+            self._outcome(
+                attempt, event.ending, now - attempt.sent_at, event.used_percent, event.elsewhere_units
+            )
+        )
+        self._forget(attempt)
+        self._tidy(request)
+
+    def _outcome(
+        self, attempt: Attempt, ending: Ending, latency: int, used: int | None = None, elsewhere: int = 0
+    ) -> contract.Outcome:
+        request = attempt.request
+        index = self._index(attempt)
+        return contract.Outcome(
+            request.id, index, attempt.node, ending, request.over, latency, used, elsewhere
+        )
+
+    def _index(self, attempt: Attempt) -> int:
+        """Give the request's own number of an attempt."""
+        return next(i for i, number in attempt.request.out.items() if number == attempt.number)
+
+    def _forget(self, attempt: Attempt) -> None:
+        self.deadlines.discard(attempt.due)
+        del attempt.request.out[self._index(attempt)]
+        del self.attempts[attempt.number]
+
+    def _over(self, request: Open) -> None:
+        """Note that the client has its final answer or is gone; nothing is owed from here on."""
+        request.over = True
+        del self.by_asker[request.asker]
+        self.held_bytes -= request.ask.payload.held_bytes
+
+    def _tidy(self, request: Open) -> None:
+        if request.over and not request.out:
+            self.requests.pop(request.id, None)
+
+    def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
+        entries = []
+        for news in nodes:
+            number = self.node_numbers.setdefault(news.uid, len(self.node_numbers) + 1)
+            self.nodes[number] = news
+            entries.append(
+                contract.NodeEntry(number, news.shard, news.state, news.started_ns, news.zone, news.rating)
+            )
+        return contract.NodeList(kind, tuple(entries))
+
+    def _act(self, action: contract.Action, now: int, effects: list[Effect]) -> None:
+        match action:
+            case contract.Send(id_, node, timeout_ns):
+                self._send(id_, node, timeout_ns, now, effects)
+            case contract.Refuse(id_, retry_after_ns):
+                self._final(id_, Refused(retry_after_ns), effects)
+            case contract.Fail(id_):
+                request = self.requests.get(id_)
+                self._final(id_, Failed(request.last if request else None), effects)
+            case contract.Cancel(id_, index):
+                request = self.requests.get(id_)
+                number = request.out.get(index) if request else None
+                if request and number is not None and not request.streaming:
+                    attempt = self.attempts[number]
+                    effects.append(Abandon(number))
+                    self._next_turn.append(self._outcome(attempt, Ending.CANCELLED, now - attempt.sent_at))
+                    self._forget(attempt)
+                    self._tidy(request)
+            case contract.Timer(at_ns, token):
+                self.deadlines.add(max(at_ns, now + 1), contract.TimerFired(token))
+            case contract.Probe() | contract.Subscribe():
+                pass  # nodes may not be probed here, and the watch is always open
+
+    def _send(self, id_: int, node: int, timeout_ns: int, now: int, effects: list[Effect]) -> None:
+        request, news = self.requests.get(id_), self.nodes.get(node)
+        if request is None or news is None:
+            self._next_turn.append(contract.Outcome(id_, 0, node, Ending.MOOT, True))
+            return
+        index, request.sends = request.sends, request.sends + 1
+        moot = request.over or now >= request.deadline or index >= self.settings.max_attempts
+        moot = moot or request.ask.shard not in (None, news.shard)
+        # Guards the rule of no second copy, whatever the module asks for.
+        moot = moot or (bool(request.out) and not self.settings.may_duplicate)
+        if moot or news.state is NodeState.GONE:
+            self._next_turn.append(contract.Outcome(id_, index, node, Ending.MOOT, request.over))
+            return
+        wait = request.deadline - now
+        wait = min(timeout_ns, wait) if timeout_ns else wait
+        attempt = Attempt(next(self._attempt_ids), request, node, now)
+        attempt.due = self.deadlines.add(now + wait, AttemptDue(attempt.number))
+        self.attempts[attempt.number] = attempt
+        request.out[index] = attempt.number
+        effects.append(Dispatch(attempt.number, news, request.ask.payload, wait))
+
+    def _final(self, id_: int, reply: Refused | Failed, effects: list[Effect]) -> None:
+        request = self.requests.get(id_)
+        if request is None or request.over:
+            return
+        self._over(request)
+        effects.append(Answer(request.asker, reply))
+        self._tidy(request)
--- /dev/null
+++ b/runloft/net/discovery.py
@@ -0,0 +1,132 @@
+"""Discovery's watch: node lists in, ``Listed`` events out.
+
+A watch lasts until its connection ends or its lines stop; then it is opened again, with backoff,
+from the last version seen.
+"""
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+import anyio
+import h11
+import structlog
+
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import Event, Listed, NodeNews
+from runloft.decisions.contract import ListKind, NodeState
+from runloft.net.sockets import close, connect, connecting
+
+log = structlog.get_logger()
+STATES = {
+    "in_service": NodeState.READY,
+    "terminating": NodeState.DRAINING,
+    "terminated": NodeState.GONE,
+}
+SILENCE_NS = 5_000_000_000  # an empty line comes every 2 s
+BACKOFF_S, BACKOFF_MOST_S = 0.05, 1.0
+LINE_LIMIT = 1 << 20
+
+
+def listed(message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None) -> Listed:
+    """Translate one message; entries that make no sense are left out, not obeyed."""
+    nodes = []
+    for entry in message.get("targets") or ():
+        try:
+            state = STATES.get(str(entry.get("state")), NodeState.DRAINING)
+            zone = str(entry.get("az", ""))
+            nodes.append(
+                NodeNews(
+                    uid=str(entry["uid"]),
+                    endpoint=str(entry.get("endpoint", "")),
+                    shard=int(entry.get("pod_group", 0)),
+                    state=state,
+                    started_ns=int(entry.get("boot_ms") or 0) * 1_000_000,
+                    zone=zones.index(zone) if zone in zones else 0,
+                    rating=float(entry.get("capacity_hint") or 1.0),
+                    object_endpoint=str(entry.get("object_endpoint", "")),
+                )
+            )
+        except (AttributeError, KeyError, TypeError, ValueError) as error:
+            log.warning("node entry passed over", error=repr(error))
+    if kind is None:
+        kind = ListKind.FULL if message.get("all") else ListKind.DELTA
+    return Listed(kind, tuple(nodes))
+
+
+class Watch:
+    """The standing watch of one scheduler."""
+
+    def __init__(
+        self,
+        where: tuple[str, int],
+        rev: int,
+        zones: tuple[str, ...],
+        post: Callable[[Event], None],
+        deadlines: Deadlines,
+        clock: Callable[[], int],
+    ) -> None:
+        self.where, self.rev, self.zones = where, rev, zones
+        self.post, self.deadlines, self.clock = post, deadlines, clock
+
+    async def run(self) -> None:
+        """Watch for as long as the program runs."""
+        pause = BACKOFF_S
+        while True:
+            before = self.rev, self.clock()
+            try:
+                await self._watch()
+            except (OSError, ValueError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+                log.info("watch ended", error=repr(error), rev=self.rev)
+            lasted = self.clock() - before[1] > SILENCE_NS
+            pause = BACKOFF_S if lasted or self.rev != before[0] else min(pause * 2, BACKOFF_MOST_S)
+            await anyio.sleep(pause)
+
+    async def _watch(self) -> None:
+        sock = connecting()
+        silence = self.deadlines.add(self.clock() + SILENCE_NS, lambda: close(sock))
+        try:
+            await connect(sock, self.where)
+            protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
+            request = h11.Request(
+                method="GET",
+                target=f"/registry/instances?stream=1&index={self.rev}",
+                headers=[("Host", f"{self.where[0]}:{self.where[1]}"), ("Accept", "application/json")],
+            )
+            head = (protocol.send(request) or b"") + (protocol.send(h11.EndOfMessage()) or b"")
+            while head:
+                try:
+                    head = head[sock.send(head) :]
+                except BlockingIOError:
+                    await anyio.wait_writable(sock)
+            rest = b""
+            while True:
+                event = protocol.next_event()
+                if event is h11.NEED_DATA:
+                    await anyio.wait_readable(sock)
+                    data = sock.recv(65536)
+                    protocol.receive_data(data)
+                    self.deadlines.discard(silence)
+                    silence = self.deadlines.add(self.clock() + SILENCE_NS, lambda: close(sock))
+                elif isinstance(event, h11.Response) and event.status_code != 200:
+                    raise OSError(f"discovery answered {event.status_code}")
+                elif isinstance(event, h11.Data):
+                    *lines, rest = (rest + bytes(event.data)).split(b"\n")
+                    if len(rest) > LINE_LIMIT:
+                        raise ValueError("a line of the watch is too long")
+                    for line in lines:
+                        self._line(line)
+                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                    return
+        finally:
+            self.deadlines.discard(silence)
+            close(sock)
+
+    def _line(self, line: bytes) -> None:
+        if not line.strip():
+            return
+        message = json.loads(line)
+        if not isinstance(message, dict):
+            raise ValueError("a line of the watch is no object")
+        self.rev = int(message.get("rev", self.rev))
+        self.post(listed(message, self.zones))
--- /dev/null
+++ b/runloft/net/runner.py
@@ -0,0 +1,155 @@
+"""The effect runner: gathers events, turns the reducer, and carries out what it asks for."""
+
+import signal
+import socket
+import time
+from collections.abc import Callable, Iterable
+from typing import Protocol
+
+import anyio
+import structlog
+
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import Abandon, Answer, Begin, Dispatch, Effect, Event, Listed, NodeNews
+from runloft.core.reducer import Core
+from runloft.decisions.contract import ListKind
+from runloft.fronts.resp import RespFront, Translator
+from runloft.net.discovery import Watch, listed
+from runloft.net.links import RespLink
+from runloft.net.sockets import close, listening
+from runloft.settings import Config
+
+log = structlog.get_logger()
+GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
+CLIENT_PART = 0.6  # of all descriptors, for clients
+
+
+class Clock:
+    """Unix time at the start plus monotonic progress: it never steps."""
+
+    def __init__(self) -> None:
+        self._offset = time.time_ns() - time.monotonic_ns()
+
+    def __call__(self) -> int:
+        """Give the time in nanoseconds."""
+        return self._offset + time.monotonic_ns()
+
+
+class Link(Protocol):
+    """A way to storage nodes."""
+
+    def dispatch(self, order: Dispatch) -> None:
+        """Write an attempt."""
+
+    def abandon(self, attempt: int) -> None:
+        """Close an attempt's connection, if it is this link's."""
+
+    def listed(self, nodes: tuple[NodeNews, ...]) -> None:
+        """Heed news of the nodes."""
+
+    def close(self) -> None:
+        """Close everything."""
+
+
+class Runner:
+    """The turn: what has come since the last one goes to the reducer in one step."""
+
+    def __init__(self, core: Core, deadlines: Deadlines, clock: Callable[[], int]) -> None:
+        self.core, self.deadlines, self.clock = core, deadlines, clock
+        self.links: dict[str, Link] = {}
+        self.events: list[Event] = []
+        self.attempt_links: dict[int, Link] = {}
+        self._wake = anyio.Event()
+
+    def post(self, event: Event) -> None:
+        """Take an event for the next turn."""
+        self.events.append(event)
+        self._wake.set()
+
+    async def run(self) -> None:
+        """Turn whenever something has come or is due."""
+        while True:
+            due, now = self.core.next_at(self.clock()), self.clock()
+            if not self.events and (due is None or due > now):
+                self._wake = anyio.Event()
+                with anyio.move_on_after(None if due is None else (due - now) / 1e9):
+                    await self._wake.wait()
+            else:
+                await anyio.sleep(0)
+            self.turn()
+
+    def turn(self) -> None:
+        """Hand over what has come and carry out the effects in their order."""
+        events, self.events = self.events, []
+        for event in events:
+            if isinstance(event, Listed):
+                for link in self.links.values():
+                    link.listed(event.nodes)
+        self.carry_out(self.core.step(self.clock(), events))
+
+    def carry_out(self, effects: Iterable[Effect]) -> None:
+        """Read and write as the reducer asks."""
+        for effect in effects:
+            match effect:
+                case Dispatch():
+                    self.links[effect.payload.wire].dispatch(effect)
+                case Abandon(attempt):
+                    for link in self.links.values():
+                        link.abandon(attempt)
+                case Answer(asker, reply):
+                    asker.answer(reply)
+                case Begin(asker, value, node, shard):
+                    asker.begin(value, node, shard)
+
+
+async def serve(config: Config) -> None:
+    """Run one scheduler until it is told to stop and all that it took is answered."""
+    clock, deadlines = Clock(), Deadlines()
+    core = Core(config.settings, config.seed, clock(), deadlines)
+    runner = Runner(core, deadlines, clock)
+    async with anyio.create_task_group() as group:
+        runner.links["resp"] = RespLink(
+            group,
+            runner.post,
+            deadlines,
+            clock,
+            config.settings.connect_timeout_ns or 1_000_000_000,
+            config.conn_idle_ns,
+            most=config.max_sockets // 4,
+        )
+        translator = Translator(config.class_names, config.plan_names)
+        most = int(config.max_sockets * CLIENT_PART)
+        front = RespFront(group, runner.post, clock, translator, most)
+        runner.post(listed(config.known, config.zones, ListKind.CACHED))
+        rev = int(config.known.get("rev", 0) or 0)
+        watch = Watch(config.discovery, rev, config.zones, runner.post, deadlines, clock)
+        group.start_soon(runner.run)
+        group.start_soon(watch.run)
+        listener = listening(config.listen)
+        group.start_soon(front.accept, listener)
+        log.info("serving", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
+        await _stopped()
+        await wind_down(front, listener, core)
+        for link in runner.links.values():
+            link.close()
+        group.cancel_scope.cancel()
+    log.info("stopped", name=config.name)
+
+
+async def _stopped() -> None:
+    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
+        async for _ in signals:
+            return
+
+
+async def wind_down(front: RespFront, listener: socket.socket, core: Core) -> None:
+    """Go on for a while, then stop listening and answer all that was taken."""
+    log.info("stopping", open=len(core.requests), clients=len(front.clients))
+    await anyio.sleep(GRACE_S)
+    front.accept_waiting(listener)  # what the kernel has accepted may carry a request
+    close(listener)
+    while True:
+        front.stop()
+        if not front.clients and not core.requests:
+            return
+        await anyio.sleep(0.02)
--- /dev/null
+++ b/runloft/net/sockets.py
@@ -0,0 +1,116 @@
+"""Small parts that all links and fronts share: buffers, gathered writes, closing."""
+
+import socket
+from collections import deque
+from itertools import islice
+
+import anyio
+
+GATHER = 64  # parts in one sendmsg
+ABOVE_HEAD = 4096
+
+
+class Inbox:
+    """A bounded receive buffer that is parsed in place: ``data[start:end]`` is what is unread."""
+
+    def __init__(self, limit: int) -> None:
+        self.limit, self.data, self.start, self.end = limit, bytearray(ABOVE_HEAD), 0, 0
+
+    def receive(self, sock: socket.socket) -> int:
+        """Read once; 0 at the end of the stream.  BlockingIOError: nothing is there."""
+        if self.start == self.end:
+            self.start = self.end = 0
+        elif self.start and self.end == len(self.data):
+            unread = self.end - self.start
+            self.data[:unread] = self.data[self.start : self.end]
+            self.start, self.end = 0, unread
+        if self.end == len(self.data):
+            if self.end >= self.limit:
+                raise BufferError("a message is longer than the buffer may be")
+            self.data.extend(bytes(min(len(self.data) * 3, self.limit - self.end)))
+        with memoryview(self.data) as view:
+            count = sock.recv_into(view[self.end :])
+        self.end += count
+        return count
+
+    def shrink(self) -> None:
+        """Give back the memory of a large message once it is read."""
+        if self.start == self.end and len(self.data) > 4 * ABOVE_HEAD:
+            self.data, self.start, self.end = bytearray(ABOVE_HEAD), 0, 0
+
+
+class Outbox:
+    """What is still to be written, by gathered writes that may come up short."""
+
+    def __init__(self) -> None:
+        self.parts: deque[memoryview] = deque()
+        self.size = 0
+
+    def push(self, *parts: bytes | memoryview) -> None:
+        """Add parts behind what is there."""
+        for part in parts:
+            if len(part):
+                self.parts.append(memoryview(part))
+                self.size += len(part)
+
+    def flush(self, sock: socket.socket) -> bool:
+        """Write what the socket takes; whether all is gone."""
+        while self.parts:
+            try:
+                count = sock.sendmsg(list(islice(self.parts, GATHER)))
+            except (BlockingIOError, InterruptedError):
+                return False
+            self.size -= count
+            while count:
+                if count < len(self.parts[0]):
+                    self.parts[0] = self.parts[0][count:]
+                    break
+                count -= len(self.parts.popleft())
+        return True
+
+
+def listening(where: tuple[str, int], backlog: int = 1024) -> socket.socket:
+    """Open a listening socket at this address only."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+    sock.bind(where)
+    sock.listen(backlog)
+    sock.setblocking(False)
+    return sock
+
+
+def connecting() -> socket.socket:
+    """Make a socket that is about to connect."""
+    sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
+    sock.setblocking(False)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    return sock
+
+
+async def connect(sock: socket.socket, where: tuple[str, int]) -> None:
+    """Wait until it is connected; OSError if that fails."""
+    try:
+        sock.connect(where)
+    except BlockingIOError:
+        await anyio.wait_writable(sock)
+        error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
+        if error:
+            raise OSError(error, "connect") from None
+
+
+def close(sock: socket.socket) -> None:
+    """Close now; whoever waits on it is woken with ClosedResourceError."""
+    if sock.fileno() >= 0:
+        anyio.notify_closing(sock)
+        sock.close()
+
+
+def is_quiet(sock: socket.socket) -> bool:
+    """Whether nothing is there to be read: no byte, no end, no error."""
+    try:
+        sock.recv(1, socket.MSG_PEEK)
+    except (BlockingIOError, InterruptedError):
+        return True
+    except OSError:
+        return False
+    return False
--- /dev/null
+++ b/runloft/settings.py
@@ -0,0 +1,232 @@
+"""Configuration: the platform's JSON into ``contract.Settings``, by way of the simulator's lines.
+
+The JSON names its settings as the simulator's first message does, so it is flattened to that
+message's path=value form and both sides share one translation.
+"""
+
+import json
+import math
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from runloft.decisions import contract
+
+EFFECTS = {"retryable": contract.Effect.SAFE, "dedup": contract.Effect.KEYED}
+GROUPS = {"all": contract.Group.ALL, "zone": contract.Group.ZONE}
+REPORT_FIELDS = {
+    "rif": "inflight",
+    "q": "queue",
+    "busy": "util",
+    "lat_ms": "latency_ms",
+    "rate": "served_per_s",
+    "fail_rate": "errors_per_s",
+}
+
+
+class ConfigError(ValueError):
+    """A configuration that can't be served; each fault names its key."""
+
+    def __init__(self, faults: list[str]) -> None:
+        super().__init__("; ".join(faults))
+        self.faults = faults
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """What one scheduler is told."""
+
+    name: str
+    listen: tuple[str, int]
+    discovery: tuple[str, int]
+    seed: int
+    known: dict[str, Any]
+    settings: contract.Settings
+    class_names: tuple[str, ...]
+    plan_names: tuple[str, ...]
+    conn_idle_ns: int
+    max_sockets: int
+    zones: tuple[str, ...] = ()
+    raw: dict[str, Any] = field(default_factory=dict)
+
+
+def address(text: str) -> tuple[str, int]:
+    """Split host:port."""
+    host, mark, port = text.rpartition(":")
+    if not mark or not host or not port.isdigit() or int(port) > 65535:
+        raise ValueError(f"not an address of the form host:port: {text!r}")
+    return host, int(port)
+
+
+def flatten(value: Any, path: str = "") -> dict[str, str]:
+    """Give nested JSON as path=value pairs: lists of objects counted, plain lists joined by commas."""
+    match value:
+        case dict():
+            pairs: dict[str, str] = {}
+            for key, item in value.items():
+                pairs |= flatten(item, f"{path}.{key}" if path else key)
+            return pairs
+        case list() if any(isinstance(item, dict) for item in value):
+            pairs = {f"{path}.count": str(len(value))}
+            for index, item in enumerate(value):
+                pairs |= flatten(item, f"{path}.{index}")
+            return pairs
+        case list():
+            return {path: ",".join(_word(item) for item in value)}
+    return {path: _word(value)}
+
+
+def _word(value: Any) -> str:
+    if value is None:
+        return ""
+    return str(value).lower() if isinstance(value, bool) else str(value)
+
+
+def load_config(path: str) -> Config:
+    """Read and check the platform's configuration file."""
+    try:
+        raw = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as error:
+        raise ConfigError([f"{path}: {error}"]) from error
+    return config_from_json(raw)
+
+
+def config_from_json(raw: Any) -> Config:
+    """Check and translate a configuration; every fault is named by its key."""
+    if not isinstance(raw, dict):
+        raise ConfigError(["(top): an object is wanted"])
+    faults: list[str] = []
+
+    def place(key: str) -> tuple[str, int]:
+        try:
+            return address(str(raw[key]))
+        except (KeyError, ValueError) as error:
+            faults.append(f"{key}: {'missing' if isinstance(error, KeyError) else error}")
+            return "", 0
+
+    listen, discovery = place("listen"), place("discovery")
+    try:
+        seed = int(str(raw.get("seed", "0")), 16)
+    except ValueError:
+        faults.append("seed: not a hexadecimal number")
+        seed = 0
+    inner = raw.get("settings")
+    pairs = flatten(inner) if isinstance(inner, dict) else {}
+    settings = settings_from_wire(pairs)
+    if not settings.classes:
+        faults.append("settings.Classes: at least one class is wanted")
+    if not settings.plans:
+        faults.append("settings.ServiceLevels: at least one plan is wanted")
+    for index, klass in enumerate(settings.classes):
+        if klass.deadline_ns <= 0:
+            faults.append(f"settings.Classes.{index}.HardLimit: a positive time is wanted")
+    known = raw.get("known") or {}
+    if not isinstance(known, dict):
+        faults.append("known: an object is wanted")
+    limits = raw.get("limits") or {}
+    sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 0
+    if not isinstance(sockets, int) or sockets < 32:
+        faults.append("limits.sockets: a number of at least 32 is wanted")
+    if faults:
+        raise ConfigError(faults)
+    return Config(
+        name=str(raw.get("name", "")),
+        listen=listen,
+        discovery=discovery,
+        seed=seed,
+        known=known,
+        settings=settings,
+        class_names=_names(pairs, "Classes"),
+        plan_names=_names(pairs, "ServiceLevels"),
+        conn_idle_ns=int(float(pairs.get("Limits.ConnIdle", "0") or 0)) or 15_000_000_000,
+        max_sockets=sockets,
+        zones=tuple(name for name in pairs.get("Localities", "").split(",") if name),
+        raw=raw,
+    )
+
+
+def _names(pairs: dict[str, str], table: str) -> tuple[str, ...]:
+    return tuple(pairs.get(f"{table}.{i}.Name", str(i)) for i in range(int(pairs.get(f"{table}.count", 0))))
+
+
+def settings_from_wire(raw: dict[str, str]) -> contract.Settings:
+    """Translate the first message; keys it does not know are passed over, absent ones are zero."""
+
+    def number(path: str, default: float = 0.0) -> float:
+        try:
+            value = float(raw.get(path, default))
+        except ValueError:
+            return default
+        return value if math.isfinite(value) else default
+
+    def integer(path: str, default: int = 0) -> int:
+        return int(number(path, default))
+
+    def flag(path: str) -> bool:
+        return raw.get(path) == "true"
+
+    writes = raw.get("Extra.ClassWrites", "").split(",")
+    classes = []
+    for index in range(integer("Classes.count")):
+        path = f"Classes.{index}."
+        deadline = integer(path + "HardLimit")
+        classes.append(
+            contract.ClassSettings(
+                aim_ns=integer(path + "Target", deadline),
+                deadline_ns=deadline,
+                worth=number(path + "Importance", 1.0),
+                late_worth=number(path + "LateValue"),
+                effect=EFFECTS.get(raw.get(path + "Effect", ""), contract.Effect.UNSAFE),
+                group=GROUPS.get(raw.get(path + "Group", ""), contract.Group.SHARD),
+                window_ns=integer(path + "Window"),
+                in_order=flag(path + "InTurn"),
+                streamed=flag(path + "Streamed"),
+                writes=index < len(writes) and writes[index] == "true",
+            )
+        )
+    plans = []
+    for index in range(integer("ServiceLevels.count")):
+        path = f"ServiceLevels.{index}."
+        plans.append(
+            contract.PlanSettings(
+                rate=number(path + "BaseRate"),
+                reserve=number(path + "Guaranteed"),
+                weight=number(path + "Parts", 1.0),
+                price=number(path + "ValueFactor", 1.0),
+                limit=number(path + "Limit"),
+                limit_burst=number(path + "LimitBurst"),
+                limit_slack=number(path + "Slack"),
+            )
+        )
+    names = raw.get("Feedback.Fields", "").split(",")
+    return contract.Settings(
+        classes=tuple(classes),
+        plans=tuple(plans),
+        hosts=integer("GroupSize", 1),
+        host_number=integer("SlotNo"),
+        tick_ns=integer("Tick", 1_000_000),
+        mean_units=number("Extra.UsualUnits", 1.0),
+        max_units=number("Extra.MaxUnits", 1.0),
+        share_worth=number("Extra.WithinShare", 1.0),
+        spare_worth=number("Extra.BeyondShare", 1.0),
+        cold_units=number("Extra.ColdUnits"),
+        cold_from=number("Safety.ColdFrom", 1.0),
+        cold_ns=integer("Safety.Cold"),
+        fall_multiple=number("Safety.FallMultiple", 1.0),
+        fall_ns=integer("Safety.Fall"),
+        settle_ns=integer("Safety.SettleAfterDoubt"),
+        budget_free=number("Safety.ExtraFloor"),
+        budget_share=number("Safety.ResendRatio"),
+        budget_window_ns=integer("Safety.LookBack"),
+        max_attempts=integer("Limits.AttemptsCap", 1),
+        connect_timeout_ns=integer("Limits.ConnectTimeout"),
+        max_retry_after_ns=integer("Limits.MaxRetryAfter"),
+        may_cancel=flag("Limits.Cancel"),
+        may_probe=flag("Limits.MayProbe"),
+        may_duplicate=flag("Limits.MayDuplicate"),
+        list_is_asked_for=raw.get("Discovery") == "subscribe",
+        ask_every_ns=integer("Safety.AskEvery"),
+        meter_ns=integer("Extra.UsePeriod"),
+        tells_elsewhere=flag("Extra.TellsElsewhere"),
+        report_fields=tuple(REPORT_FIELDS.get(name, name) for name in names if name),
+    )
