Give up what has not left by 0.45 of its client's time

Conclusion: past half of its time no class here is still in time, so an unsent request is told so then, and one whose forecast start lies past that point is refused on arrival.

--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -33,6 +33,7 @@
 PRICE_FADE = 15  # price: tightest aims in which a node's falls to the other nodes' by 1/e, and theirs to none
 COLD_PART = 0.5  # part of a cold node's budget that is used: its true speed is not told
 GUESS_PART = 0.5  # part of the warm-up for which a refused connection counts as a start
+HOLD_PART = 0.45  # of its client's time: a request that has not left by then is given up
 GOLDEN = 0.6180339887  # spreads first turns at a cold node evenly over host numbers
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
@@ -241,15 +242,17 @@
     def _arrive(self, request: Request, now: int) -> None:
         self.taken.add(now, 1)
         ticket = self.tickets[request.id] = Ticket(request, self.settings.classes[request.klass], now)
+        ticket.hold_until = now + int(HOLD_PART * request.time_left_ns)
         if self.many:
             ticket.luck = self.random.uniform(1 - PRICE_JITTER, 1 + PRICE_JITTER)
         if ticket.klass.in_order and request.key:
             self.lines.setdefault(request.key, []).append(ticket)
         # Guards the final answer: due at a set time, whatever happens to the request until then.
         self.actions.append(Timer(max(now, ticket.deadline - self.settings.tick_ns), ticket.id))
+        self.actions.append(Timer(ticket.hold_until, ticket.id))
         self._hold(ticket, now)
         wait = max(self._forecast(ticket, now), self._barred(ticket, self.shards.get(ticket.shard), now))
-        excess = wait - (ticket.deadline - now) / SECOND
+        excess = wait - (ticket.hold_until - now) / SECOND
         if excess > 0:
             self._give_up(ticket, now, excess)
 
@@ -460,6 +463,7 @@
             price, mean = self.nodes[sent_to].price, self.mean_price.now(now)
             price.learn(now, outcome.latency_ns, mean)
             self.mean_price.value, self.mean_price.at = mean + PRICE_SPREAD * (price.value - mean), now
+        ticket.reached |= outcome.ending not in (Ending.CONNECT_FAILED, Ending.MOOT)
         if outcome.ending not in NEVER_RAN and ticket.doubt_at is None:
             ticket.doubt_at, ticket.doubt_node = ticket.sent_at, sent_to
         self._turn_ended(ticket, outcome.ending, now)
@@ -501,7 +505,10 @@
         if token == SUBSCRIBE:
             self.actions.append(Subscribe())
         elif ticket and not ticket.done and not ticket.streaming:
-            self._give_up(ticket, now)
+            # Guards the client's time: half of it gone and nothing sent, it had better ask again.
+            unsent = not ticket.out and not ticket.reached
+            if now + self.settings.tick_ns >= ticket.deadline or (unsent and now >= ticket.hold_until):
+                self._give_up(ticket, now)
 
     def _list(self, news: NodeList, now: int) -> None:
         if news.kind is ListKind.FAILED:
--- a/runloft/decisions/state.py
+++ b/runloft/decisions/state.py
@@ -13,7 +13,9 @@
         self.id, self.units, self.shard = request.id, request.units, request.shard
         self.aim_at = now + min(klass.aim_ns, request.time_left_ns)
         self.deadline = now + request.time_left_ns
+        self.hold_until = self.deadline  # when it is given up if nothing of it has left
         self.attempts = 0
+        self.reached = False  # whether a node took notice of an attempt
         self.out: dict[int, int] = {}  # attempt -> node
         self.sent_at = now  # when the last attempt left
         self.doubt_at: int | None = None  # when the first attempt left that may have run
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -21,6 +21,7 @@
 
 log = structlog.get_logger()
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
+LATE_NS = 15_000_000
 CLIENT_PART = 0.6  # of all descriptors, for clients
 
 
@@ -80,6 +81,13 @@
 
     def turn(self) -> None:
         """Hand over what has come and carry out the effects in their order."""
+        began, due = self.clock(), self.core.next_at(self.clock())
+        self._turn()
+        late, took = began - (due or began), self.clock() - began
+        if max(late, took) > LATE_NS:  # answers at their deadline are at risk from here on
+            log.warning("slow turn", late_ms=late // 1_000_000, took_ms=took // 1_000_000)
+
+    def _turn(self) -> None:
         events, self.events = self.events, []
         for event in events:
             if isinstance(event, Listed):
