--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -66,9 +66,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Refused:
-    """Not served, and trying again is harmless; 0: no time named."""
+    """Not served, and trying again is harmless; 0: no time named.
+
+    ``cause``: how the last attempt ended, TIMEOUT also where the request's time has run out.
+    """
 
     retry_after_ns: int = 0
+    cause: Ending | None = None
 
 
 @dataclass(frozen=True, slots=True)
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -33,7 +33,8 @@
 from runloft.decisions.policy import Scheduler
 
 MAX_OPEN = 2048  # requests held at once
-MAX_HELD_BYTES = 32 << 20  # of their bodies together: memory is bounded at 192 MB
+MAX_HELD_BYTES = 48 << 20  # of their bodies together: memory is bounded at 192 MB
+WIRE_PART = 0.5  # of both, for what comes by one wire: a flood on one front leaves room for the other
 
 
 @dataclass(slots=True, eq=False)
@@ -80,7 +81,7 @@
         self.attempts: dict[int, Attempt] = {}
         self.nodes: dict[int, NodeNews] = {}
         self.node_numbers: dict[str, int] = {}
-        self.held_bytes = 0
+        self.use: dict[str, list[int]] = {}  # by wire: requests open, bytes held
         self._request_ids, self._attempt_ids = count(1), count(1)
         self._next_turn: list[contract.Event] = []
 
@@ -122,13 +123,14 @@
     def _take(
         self, asker: Asker, ask: Ask, now: int, told: list[contract.Event], effects: list[Effect]
     ) -> None:
-        size = ask.payload.held_bytes
-        if len(self.requests) >= MAX_OPEN or self.held_bytes + size > MAX_HELD_BYTES:
-            effects.append(Answer(asker, Refused()))  # guards memory, whatever the clients do
+        size, use = ask.payload.held_bytes, self.use.setdefault(ask.payload.wire, [0, 0])
+        full = use[0] >= WIRE_PART * MAX_OPEN or use[1] + size > WIRE_PART * MAX_HELD_BYTES
+        if full:  # guards memory, whatever the clients do
+            effects.append(Answer(asker, Refused()))
             return
+        use[0], use[1] = use[0] + 1, use[1] + size
         request = Open(next(self._request_ids), asker, ask, now + ask.time_left_ns)
         self.requests[request.id] = self.by_asker[asker] = request
-        self.held_bytes += size
         told.append(
             contract.Request(
                 id=request.id,
@@ -210,11 +212,12 @@
         """Note that the client has its final answer or is gone; nothing is owed from here on."""
         request.over = True
         del self.by_asker[request.asker]
-        self.held_bytes -= request.ask.payload.held_bytes
 
     def _tidy(self, request: Open) -> None:
-        if request.over and not request.out:
-            self.requests.pop(request.id, None)
+        if request.over and not request.out and request.id in self.requests:
+            del self.requests[request.id]
+            use, payload = self.use[request.ask.payload.wire], request.ask.payload
+            use[0], use[1] = use[0] - 1, use[1] - payload.held_bytes
 
     def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
         entries = []
@@ -231,10 +234,9 @@
             case contract.Send(id_, node, timeout_ns):
                 self._send(id_, node, timeout_ns, now, effects)
             case contract.Refuse(id_, retry_after_ns):
-                self._final(id_, Refused(retry_after_ns), effects)
+                self._final(id_, Refused(retry_after_ns, self._cause(id_, now)), effects)
             case contract.Fail(id_):
-                request = self.requests.get(id_)
-                self._final(id_, Failed(request.last if request else None), effects)
+                self._final(id_, Failed(self._cause(id_, now)), effects)
             case contract.Cancel(id_, index):
                 request = self.requests.get(id_)
                 number = request.out.get(index) if request else None
@@ -270,6 +272,13 @@
         request.out[index] = attempt.number
         effects.append(Dispatch(attempt.number, news, request.ask.payload, wait))
 
+    def _cause(self, id_: int, now: int) -> Ending | None:
+        request = self.requests.get(id_)
+        if request is None:
+            return None
+        expired = now + 2 * self.settings.tick_ns >= request.deadline
+        return Ending.TIMEOUT if expired and request.sends else request.last
+
     def _final(self, id_: int, reply: Refused | Failed, effects: list[Effect]) -> None:
         request = self.requests.get(id_)
         if request is None or request.over:
--- /dev/null
+++ b/runloft/fronts/objects.py
@@ -0,0 +1,557 @@
+"""The object front: HTTP in S3's terms, served by the same core as the platform's protocol.
+
+One exchange at a time on a connection.  A request becomes an ``Ask`` like any other; its answer
+is passed on as it comes, under back-pressure from the client.
+"""
+
+import math
+import socket
+import uuid
+import zlib
+from collections.abc import Callable
+from dataclasses import dataclass
+from urllib.parse import parse_qsl, quote, unquote, urlsplit
+from xml.sax.saxutils import escape
+
+import anyio
+import anyio.abc
+import h11
+import structlog
+
+from runloft.core.model import Ask, Event, Failed, Left, Refused, Reply, Served, Taken
+from runloft.decisions.contract import Ending
+from runloft.net.http_link import HttpPayload, Stream
+from runloft.net.sockets import close
+from runloft.settings import Config, ObjectSettings
+from runloft.shared_store import Place, SharedStore, StoreDownError
+
+log = structlog.get_logger()
+HEAD_LIMIT = 16 << 10
+PIPELINED_BYTES = 64 << 10  # read ahead while a request is out; more waits in the socket
+BODIES_BYTES = 20 << 20  # request bodies held at once by this front; more wait in their sockets
+IDLE_S, BODY_S = 60.0, 30.0  # a connection may rest so long between requests; a body may take so long
+LINGER_S = 1.0
+MOST_PART = 10_000
+PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
+HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"date")
+
+
+@dataclass(eq=False)
+class Problem(Exception):  # noqa: N818 - it is an answer, not a fault of the program
+    """An answer that tells what is wrong, in S3's terms."""
+
+    status: int
+    code: str
+    message: str
+    retry_after_ns: int = 0
+    closes: bool = False
+
+
+@dataclass(frozen=True, slots=True)
+class Operation:
+    """What a request asks for."""
+
+    name: str  # get, head, put, delete, create, part, complete, abort, parts
+    volume: str
+    key: str
+    upload: str = ""
+    part: int = 0
+
+    @property
+    def has_body(self) -> bool:
+        """Whether its body matters."""
+        return self.name in ("put", "part", "complete")
+
+
+def operation(method: bytes, target: bytes) -> Operation:
+    """Read method and target."""
+    url = urlsplit(target.decode("ascii", "replace"))
+    pieces = url.path.split("/", 4)
+    if len(pieces) < 5 or pieces[:2] != ["", "volumes"] or pieces[3] != "objects" or not pieces[4]:
+        raise Problem(404, "NoSuchKey", "objects lie at /volumes/{volume}/objects/{key}")
+    volume, key = unquote(pieces[2]), unquote(pieces[4])
+    if not volume or len(key.encode()) > 1024:
+        raise Problem(400, "KeyTooLongError", "a key holds at most 1024 bytes")
+    query = dict(parse_qsl(url.query, keep_blank_values=True))
+    upload = query.get("uploadId", "")
+    if "uploadId" in query and not (upload.isalnum() and len(upload) <= 64):
+        raise Problem(404, "NoSuchUpload", "there is no such upload")
+    names = {b"GET": "parts", b"PUT": "part", b"POST": "complete", b"DELETE": "abort"}
+    plain = {b"GET": "get", b"HEAD": "head", b"PUT": "put", b"DELETE": "delete"}
+    if upload:
+        name = names.get(method)
+    elif method == b"POST":
+        name = "create" if "uploads" in query else None
+        if name is None:
+            raise Problem(400, "InvalidRequest", "POST starts or completes an upload")
+    else:
+        name = plain.get(method)
+    if name is None:
+        raise Problem(405, "MethodNotAllowed", "this method is not known here")
+    part = 0
+    if name == "part":
+        text = query.get("partNumber", "")
+        part = int(text) if text.isdigit() and len(text) <= 5 else 0
+        if not 1 <= part <= MOST_PART:
+            raise Problem(400, "InvalidArgument", f"partNumber runs from 1 to {MOST_PART}")
+    elif "partNumber" in query and name == "put":
+        raise Problem(400, "InvalidArgument", "a part needs its uploadId")
+    return Operation(name, volume, key, upload, part)
+
+
+def single_range(text: bytes | None, size: int) -> tuple[bytes | None, int]:
+    """Give the range to pass on, if it is one single one, and how many bytes it may bring."""
+    unit, mark, spec = (text or b"").strip().partition(b"=")
+    first, dash, last = spec.strip().partition(b"-")
+    fits = unit.lower() == b"bytes" and mark and dash and (first or last)
+    if not fits or not all(t.isdigit() and len(t) < 19 for t in (first, last) if t):
+        return None, size  # several ranges, or none that is understood: the whole object
+    if first and last and int(first) > int(last):
+        return None, size
+    start = int(first) if first else 0
+    length = (int(last) - start + 1 if first else int(last)) if last else size - start
+    return text, max(0, min(length, size) if size >= 0 else length)
+
+
+class Exchange:
+    """One request's way through the core."""
+
+    def __init__(self) -> None:
+        self.event = anyio.Event()
+        self.stream: Stream | None = None
+        self.reply: Reply | None = None
+        self.shard = -1
+
+    def begin(self, value: object, node: str, shard: int) -> None:
+        """Take the head of the answer."""
+        assert isinstance(value, Stream)
+        self.stream, self.shard = value, shard
+        self.event.set()
+
+    def answer(self, reply: Reply) -> None:
+        """Take the final answer."""
+        self.reply = reply
+        if isinstance(reply, Served):
+            self.shard = reply.shard
+        elif self.stream:
+            self.stream.end(False)
+        self.event.set()
+
+
+class Bodies:
+    """The memory that bodies may hold together: who finds none waits, and its socket fills up."""
+
+    def __init__(self, most: int = BODIES_BYTES) -> None:
+        self.free = most
+        self._changed = anyio.Event()
+
+    async def take(self, size: int) -> None:
+        """Wait for so much."""
+        while size > self.free:
+            self._changed = anyio.Event()
+            await self._changed.wait()
+        self.free -= size
+
+    def give(self, size: int) -> None:
+        """Give it back."""
+        self.free += size
+        self._changed.set()
+
+
+def problem_of(reply: Reply) -> Problem:
+    """Translate a final answer that serves nothing."""
+    if isinstance(reply, Refused):
+        wait, cause = reply.retry_after_ns, reply.cause
+    else:
+        wait, cause = 0, reply.cause if isinstance(reply, Failed) else None
+    if cause is Ending.TIMEOUT:
+        return Problem(504, "GatewayTimeout", "no storage node answered in time", wait)
+    if cause in (Ending.ERROR, Ending.RESET, Ending.CONNECT_FAILED):
+        return Problem(502, "BadGateway", "the storage node failed", wait)
+    if isinstance(reply, Refused):
+        return Problem(503, "SlowDown", "come again later", wait or 1)
+    return Problem(502, "BadGateway", "the storage node failed")
+
+
+class ObjectClient:
+    """One HTTP connection."""
+
+    def __init__(self, front: "ObjectFront", sock: socket.socket) -> None:
+        self.front, self.sock = front, sock
+        self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
+        self.busy = self.ended = self.gone = False
+        self.method = b""
+
+    async def run(self) -> None:
+        """Serve requests until the connection is over."""
+        try:
+            while not self.ended and not self.front.stopping:
+                if not await self._one():
+                    break
+                self.protocol.start_next_cycle()
+        except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+            log.debug("client connection over", error=repr(error))
+        finally:
+            self.end()
+
+    def end(self) -> None:
+        """Close."""
+        if not self.ended:
+            self.ended = True
+            close(self.sock)
+            self.front.clients.discard(self)
+
+    async def _event(self, stall_s: float) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        with anyio.fail_after(stall_s):
+            while (event := self.protocol.next_event()) is h11.NEED_DATA:
+                if self.protocol.they_are_waiting_for_100_continue:
+                    await self._write(h11.InformationalResponse(status_code=100, headers=[]))
+                try:
+                    data = self.sock.recv(HEAD_LIMIT)
+                except BlockingIOError:
+                    await anyio.wait_readable(self.sock)
+                    continue
+                self.protocol.receive_data(data)
+        return event
+
+    async def _one(self) -> bool:
+        """Serve one request; whether the connection can carry another."""
+        held = 0
+        try:
+            try:
+                event = await self._event(IDLE_S)
+            except h11.RemoteProtocolError as error:
+                status = error.error_status_hint
+                raise Problem(status, "InvalidRequest", str(error), closes=True) from None
+            if not isinstance(event, h11.Request):
+                return False
+            self.busy, self.method = True, bytes(event.method)
+            headers = {bytes(name): bytes(value) for name, value in event.headers}
+            try:
+                asked = operation(bytes(event.method), bytes(event.target))
+                self.front.volume(asked)
+                length = self._length(asked, headers)
+            except Problem as problem:
+                await self._rest(problem)
+                raise
+            # The core holds its own account of bodies; this one keeps them from being read at all.
+            with anyio.move_on_after(BODY_S) as waiting:
+                await self.front.bodies.take(length)
+            if waiting.cancelled_caught:
+                raise Problem(503, "SlowDown", "too many bodies are held", 1_000_000_000, True)
+            held = length
+            with anyio.fail_after(BODY_S):
+                body = await self._body(length)
+            await self._serve(asked, headers, body)
+        except Problem as problem:
+            await self._tell(problem)
+        finally:
+            self.busy = False
+            if held:
+                self.front.bodies.give(held)
+        done = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
+        return done and not self.ended
+
+    def _length(self, asked: Operation, headers: dict[bytes, bytes]) -> int:
+        """Give the body's length, which an upload has to name."""
+        text = headers.get(b"content-length")
+        if text is None:
+            if b"transfer-encoding" in headers or asked.has_body:
+                raise Problem(411, "MissingContentLength", "a Content-Length is wanted", closes=True)
+            return 0
+        if int(text) > self.front.settings.max_body:
+            raise Problem(413, "EntityTooLarge", "the body is too large", closes=True)
+        return int(text)
+
+    async def _body(self, length: int) -> bytes:
+        body = bytearray()
+        while True:
+            try:
+                event = await self._event(BODY_S)
+            except h11.RemoteProtocolError as error:
+                raise Problem(400, "IncompleteBody", str(error), closes=True) from None
+            if isinstance(event, h11.Data) and len(body) + len(event.data) <= length:
+                body += event.data
+            elif isinstance(event, h11.EndOfMessage):
+                return bytes(body)
+            else:
+                raise Problem(400, "IncompleteBody", "the body is not whole", closes=True)
+
+    async def _rest(self, problem: Problem) -> None:
+        """Read a small rest of a request that is answered early, so that the connection goes on."""
+        if problem.closes or self.protocol.they_are_waiting_for_100_continue:
+            return
+        read = 0
+        while self.protocol.their_state is h11.SEND_BODY and read < PIPELINED_BYTES:
+            event = await self._event(BODY_S)
+            if not isinstance(event, h11.Data):
+                return
+            read += len(event.data)
+
+    async def _serve(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> None:
+        try:
+            ask, upload = await self.front.ask(asked, headers, body)
+        except StoreDownError as error:
+            raise self._store_down(error) from None
+        exchange, failure = Exchange(), None
+        self.front.post(Taken(exchange, ask))
+        try:
+            async with anyio.create_task_group() as group:
+                group.start_soon(self._notice_close, group.cancel_scope)
+                try:
+                    await exchange.event.wait()
+                    if exchange.stream is None:
+                        assert exchange.reply is not None
+                        raise problem_of(exchange.reply)
+                    await self._pass_on(asked, exchange, exchange.stream, upload, len(body))
+                except (Problem, OSError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+                    failure = error
+                group.cancel_scope.cancel()
+        finally:
+            # Nothing is owed to a client that has gone: its attempt and connection are freed.
+            if exchange.reply is None:
+                self.front.post(Left(exchange))
+        if failure:
+            raise failure
+        if self.gone:
+            raise ConnectionResetError("the client closed")
+
+    async def _notice_close(self, scope: anyio.CancelScope) -> None:
+        """Watch for the client's close while its request is out."""
+        read = 0
+        try:
+            while read < PIPELINED_BYTES:
+                await anyio.wait_readable(self.sock)
+                try:
+                    data = self.sock.recv(PIPELINED_BYTES - read)
+                except BlockingIOError:
+                    continue
+                if not data:
+                    break
+                self.protocol.receive_data(data)
+                read += len(data)
+            else:
+                return
+        except (OSError, h11.ProtocolError, anyio.ClosedResourceError):
+            pass
+        self.gone = True
+        scope.cancel()
+
+    async def _pass_on(
+        self, asked: Operation, exchange: Exchange, stream: Stream, upload: str, size: int
+    ) -> None:
+        """Pass an answer on as it comes; one that breaks ends the connection short."""
+        if asked.name == "create":
+            while await stream.next() is not None:
+                pass
+            if stream.broken:
+                raise problem_of(exchange.reply or Failed(Ending.RESET))
+        try:
+            await self.front.note(asked, stream, exchange.shard, upload, size)
+        except StoreDownError as error:
+            raise self._store_down(error) from None
+        if asked.name == "create" and stream.status < 300:
+            await self._document(200, _created(asked, upload))
+            return
+        headers = [(n, v) for n, v in stream.headers if n.lower() not in HOP_BY_HOP]
+        await self._write(h11.Response(status_code=stream.status, headers=headers))
+        while (piece := await stream.next()) is not None:
+            await self._write(h11.Data(data=piece))
+        if stream.broken:
+            # Nothing can take the head back: the client sees fewer bytes than it was promised.
+            raise ConnectionAbortedError("the answer broke off")
+        await self._write(h11.EndOfMessage())
+
+    def _store_down(self, error: StoreDownError) -> Problem:
+        log.warning("shared store down", error=str(error))
+        return Problem(503, "ServiceUnavailable", "the shared store is down", 1_000_000_000)
+
+    async def _tell(self, problem: Problem) -> None:
+        if problem.status == 204:
+            await self._write(h11.Response(status_code=204, headers=[]))
+            await self._write(h11.EndOfMessage())
+            return
+        text = (
+            '<?xml version="1.0" encoding="UTF-8"?>\n'
+            f"<Error><Code>{problem.code}</Code><Message>{escape(problem.message)}</Message></Error>"
+        )
+        await self._document(problem.status, text, problem.retry_after_ns, problem.closes)
+
+    async def _document(self, status: int, text: str, retry_after_ns: int = 0, closes: bool = False) -> None:
+        body = text.encode()
+        headers = [("Content-Type", "application/xml"), ("Content-Length", str(len(body)))]
+        if retry_after_ns:
+            headers.append(("Retry-After", str(max(1, math.ceil(retry_after_ns / 1e9)))))
+        if closes or self.front.stopping or self.protocol.their_state is h11.SEND_BODY:
+            headers.append(("Connection", "close"))
+        await self._write(h11.Response(status_code=status, headers=headers))
+        if self.method != b"HEAD":
+            await self._write(h11.Data(data=body))
+        await self._write(h11.EndOfMessage())
+        if self.protocol.their_state is not h11.DONE:
+            await self._linger()
+
+    async def _linger(self) -> None:
+        """Read and drop what is still coming, for a moment: a close would reset the answer away."""
+        self.sock.shutdown(socket.SHUT_WR)
+        with anyio.move_on_after(LINGER_S):
+            while True:
+                try:
+                    if not self.sock.recv(65536):
+                        return
+                except BlockingIOError:
+                    await anyio.wait_readable(self.sock)
+
+    async def _write(self, event: h11.Event) -> None:
+        parts = [memoryview(p) for p in self.protocol.send_with_data_passthrough(event) or [] if p]
+        with anyio.fail_after(BODY_S):
+            while parts:
+                try:
+                    count = self.sock.sendmsg(parts)
+                except BlockingIOError:
+                    await anyio.wait_writable(self.sock)
+                    continue
+                while parts and count >= len(parts[0]):
+                    count -= len(parts.pop(0))
+                if count:
+                    parts[0] = parts[0][count:]
+
+
+def _created(asked: Operation, upload: str) -> str:
+    return (
+        '<?xml version="1.0" encoding="UTF-8"?>\n<InitiateMultipartUploadResult>'
+        f"<Bucket>{escape(asked.volume)}</Bucket><Key>{escape(asked.key)}</Key>"
+        f"<UploadId>{upload}</UploadId></InitiateMultipartUploadResult>"
+    )
+
+
+class ObjectFront:
+    """The listening side of the object API."""
+
+    def __init__(
+        self,
+        group: anyio.abc.TaskGroup,
+        post: Callable[[Event], None],
+        config: Config,
+        settings: ObjectSettings,
+        store: SharedStore,
+        most_clients: int,
+    ) -> None:
+        self.group, self.post, self.config, self.settings = group, post, config, settings
+        self.store, self.most_clients = store, most_clients
+        self.bodies = Bodies(max(BODIES_BYTES, settings.max_body))
+        self.clients: set[ObjectClient] = set()
+        self.stopping = False
+
+    def volume(self, asked: Operation) -> None:
+        """Check that the volume is one of the file's."""
+        if asked.volume not in self.settings.volumes:
+            raise Problem(404, "NoSuchBucket", "there is no such volume")
+
+    async def ask(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> tuple[Ask, str]:
+        """Find the shard and describe the request to the core."""
+        volume, store = self.settings.volumes[asked.volume], self.store
+        place = await store.get(store.object_key(asked.volume, asked.key)) if not asked.upload else None
+        upload = asked.upload
+        if upload:
+            place = await store.get(store.upload_key(asked.volume, asked.key, upload))
+            if place is None:
+                raise Problem(404, "NoSuchUpload", "there is no such upload")
+        elif place is None and asked.name in ("get", "head"):
+            raise Problem(404, "NoSuchKey", "there is no such object")
+        elif place is None and asked.name == "delete":
+            raise Problem(204, "", "")
+        extra: list[tuple[bytes, bytes]] = []
+        length = len(body)
+        wanted, size = single_range(headers.get(b"range"), place.size if place else -1)
+        for name in PASSED_ON:
+            value = wanted if name == b"range" else headers.get(name)
+            if value is not None and (name != b"if-range" or wanted is not None):
+                extra.append((name, value))
+        if asked.name == "get":
+            length = max(0, size)
+        target = f"/volumes/{quote(asked.volume, safe='')}/objects/{quote(asked.key)}"
+        if asked.name == "create":
+            # The id is made here, so that asking a node again starts no second upload.
+            upload = uuid.uuid4().hex
+            target += f"?uploads&uploadId={upload}"
+        elif asked.name == "part":
+            target += f"?partNumber={asked.part}&uploadId={upload}"
+        elif upload:
+            target += f"?uploadId={upload}"
+        methods = {"get": b"GET", "parts": b"GET", "head": b"HEAD", "put": b"PUT", "part": b"PUT"}
+        method = methods.get(asked.name, b"POST" if asked.name in ("create", "complete") else b"DELETE")
+        klass = self.settings.classes[asked.name]
+        settings = self.config.settings
+        deadline = settings.classes[klass].deadline_ns
+        wait = headers.get(b"x-expires-in-ms", b"")
+        if wait.isdigit() and 0 < len(wait) < 10:
+            deadline = max(1_000_000, min(deadline, int(wait) * 1_000_000))
+        units = min(max(1.0, settings.max_units), max(1.0, math.ceil(length / self.settings.unit_bytes)))
+        return Ask(
+            klass=klass,
+            plan=volume.plan,
+            volume=volume.id,
+            units=units,
+            time_left_ns=deadline,
+            shard=place.shard if place else None,
+            payload=HttpPayload(method, target.encode("ascii"), tuple(extra), body),
+            key=zlib.crc32(asked.key.encode()) + 1,
+            volume_hosts=volume.hosts,
+            is_write=asked.name in ("put", "part", "complete"),
+        ), upload
+
+    async def note(self, asked: Operation, stream: Stream, shard: int, upload: str, size: int) -> None:
+        """Keep the shared store in step with what a node has done."""
+        if stream.status >= 300:
+            return
+        store = self.store
+        item = store.object_key(asked.volume, asked.key)
+        if asked.name == "put":
+            await store.put(item, Place(shard, size))
+        elif asked.name == "create":
+            await store.put(store.upload_key(asked.volume, asked.key, upload), Place(shard), upload=True)
+        elif asked.name == "complete":
+            await store.put(item, Place(shard))
+            await store.forget(store.upload_key(asked.volume, asked.key, upload))
+        elif asked.name == "abort":
+            await store.forget(store.upload_key(asked.volume, asked.key, upload))
+        elif asked.name == "delete":
+            await store.forget(item)
+        elif asked.name in ("get", "head") and stream.status == 200:
+            # An assembled object's size is first known from an answer; it makes later units right.
+            length = next((v for n, v in stream.headers if n.lower() == b"content-length"), b"")
+            place = await store.get(item)
+            if length.isdigit() and place and place.size < 0:
+                await store.put(item, Place(place.shard, int(length)))
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Accept until the listener closes."""
+        while True:
+            try:
+                if not self.accept_waiting(listener):
+                    await anyio.sleep(0.02)
+                await anyio.wait_readable(listener)
+            except (OSError, anyio.ClosedResourceError):
+                return
+
+    def accept_waiting(self, listener: socket.socket) -> bool:
+        """Accept what is there; whether there was room for all of it."""
+        while len(self.clients) < self.most_clients:
+            try:
+                sock, _ = listener.accept()
+            except (BlockingIOError, ConnectionAbortedError):
+                return True
+            sock.setblocking(False)
+            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            client = ObjectClient(self, sock)
+            self.clients.add(client)
+            self.group.start_soon(client.run)
+        return False
+
+    def stop(self) -> None:
+        """Close clients between requests; busy ones end after their answer."""
+        self.stopping = True
+        for client in list(self.clients):
+            if not client.busy:
+                client.end()
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -16,6 +16,7 @@
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
+TRAVEL_NS = 25_000_000  # of a client's time, for ways whose length nobody tells
 UNWRITTEN = 512 << 10  # bytes of answers that a client has not read; then its commands wait
 COMMAND_LIMIT = 72 << 10
 FAILED = b"-ERR failed\r\n"
@@ -60,7 +61,9 @@
             plan=plan,
             volume=volume,
             units=units,
-            time_left_ns=int(min(wait_ms, 3.6e6) * 1_000_000),
+            # Guards answers given at the last moment: the client counts from when it sent, and waits
+            # for the answer's last byte.
+            time_left_ns=max(int(min(wait_ms, 3.6e6) * 1_000_000) - TRAVEL_NS, 1_000_000),
             shard=shard if shard >= 0 else None,
             payload=payload,
             key=key,
@@ -92,9 +95,9 @@
         match reply:
             case Served(value) if isinstance(value, bytes):
                 self.put(*resp2.bulk(value))
-            case Refused(0):
+            case Refused(0, _):
                 self.put(b"-BUSY\r\n")
-            case Refused(retry_after_ns):
+            case Refused(retry_after_ns, _):
                 self.put(b"-BUSY %d\r\n" % math.ceil(retry_after_ns / 1_000_000))
             case _:
                 self.put(FAILED)
@@ -128,7 +131,7 @@
                 self._commands()
             if not self.closing:
                 self.end()
-        except (OSError, anyio.ClosedResourceError):
+        except (OSError, BufferError, anyio.ClosedResourceError):
             self.end()
 
     def _commands(self) -> None:
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -1,4 +1,4 @@
-"""The link to storage nodes over RESP2: pooled connections, one request at a time on each."""
+"""Links to storage nodes: pooled connections, one request at a time on each; RESP2's is here."""
 
 import socket
 from collections.abc import Callable
@@ -41,8 +41,8 @@
         return resp2.command(*self.words[:3], attributes, *self.words[3:])
 
 
-class RespLink:
-    """All connections to storage nodes that speak RESP2."""
+class NodeLink:
+    """All connections to storage nodes that speak one wire."""
 
     def __init__(
         self,
@@ -53,18 +53,21 @@
         connect_timeout_ns: int,
         conn_idle_ns: int,
         most: int = 256,
+        *,
+        kind: "type[Connection]",
+        endpoint: Callable[[NodeNews], str] = lambda news: news.endpoint,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
         self.connect_timeout_ns = connect_timeout_ns
         self.idle_ns = int(conn_idle_ns * IDLE_PART)
-        self.most = most
+        self.most, self.kind, self.endpoint = most, kind, endpoint
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.out: dict[int, Connection] = {}
         self.open: set[Connection] = set()
 
     def dispatch(self, order: Dispatch) -> None:
         """Write an attempt on a free connection, or on a new one."""
-        place = (order.node.uid, order.node.endpoint)
+        place = (order.node.uid, self.endpoint(order.node))
         pool = self.idle.get(place, [])
         while pool:
             connection = pool.pop()
@@ -77,7 +80,7 @@
         if len(self.open) >= self.most and not self._make_room():
             self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
             return
-        connection = Connection(self, place)
+        connection = self.kind(self, place)
         self.open.add(connection)
         connection.take(order)
         self.group.start_soon(connection.run)
@@ -100,7 +103,7 @@
         """Close idle connections to nodes that have moved or are leaving."""
         for news in nodes:
             for place, pool in list(self.idle.items()):
-                moved = place[1] != news.endpoint or news.state is not NodeState.READY
+                moved = place[1] != self.endpoint(news) or news.state is not NodeState.READY
                 if place[0] == news.uid and moved:
                     for connection in list(pool):
                         connection.end()
@@ -113,23 +116,39 @@
 
 
 class Connection:
-    """One connection to a node; it carries at most one attempt."""
+    """One connection to a node; it carries at most one attempt.  Each wire has its own kind."""
 
-    def __init__(self, link: RespLink, place: tuple[str, str]) -> None:
+    reply_limit = REPLY_LIMIT
+
+    def __init__(self, link: NodeLink, place: tuple[str, str]) -> None:
         self.link, self.place = link, place
         self.sock: socket.socket = connecting()
-        self.inbox, self.outbox = Inbox(REPLY_LIMIT), Outbox()
+        self.inbox, self.outbox = Inbox(self.reply_limit), Outbox()
         self.order: Dispatch | None = None
         self.connected = self.ended = self.writing = False
         self.mark: Mark | None = None
 
+    def parts(self, order: Dispatch) -> list[bytes]:
+        """Give an attempt as parts for a gathered write."""
+        raise NotImplementedError
+
+    async def read(self) -> None:
+        """Read what has come; ValueError where it makes no sense."""
+        raise NotImplementedError
+
+    def eof(self) -> None:
+        """Note that the node ended its sending."""
+
+    def ending(self) -> Ending:
+        """Tell how an attempt ends whose connection broke: it never ran before its last byte left."""
+        written = self.connected and not self.outbox.parts
+        return Ending.RESET if written else Ending.CONNECT_FAILED
+
     def take(self, order: Dispatch) -> None:
         """Carry an attempt."""
         self.order = order
         self.link.out[order.attempt] = self
-        payload = order.payload
-        assert isinstance(payload, RespPayload)
-        self.outbox.push(*payload.parts(order.wait_ns))
+        self.outbox.push(*self.parts(order))
         if self.connected:
             self._flush()
 
@@ -163,37 +182,28 @@
             while not self.ended:
                 try:
                     if not self.inbox.receive(self.sock):
+                        self.eof()
                         break
                 except BlockingIOError:
                     await anyio.wait_readable(self.sock)
                     continue
-                self._read()
+                await self.read()
         except (OSError, ValueError, BufferError, anyio.ClosedResourceError) as error:
             if not self.ended and not isinstance(error, OSError):
                 log.warning("node connection broken", node=self.place[0], error=str(error))
         finally:
             self.end()
 
-    def _read(self) -> None:
-        inbox = self.inbox
-        piece = resp2.parse(inbox.data, inbox.start, inbox.end)
-        if piece is None:
-            return
-        reply, inbox.start = piece
-        inbox.shrink()
-        order, self.order = self.order, None
-        if order is None or inbox.start != inbox.end:
-            raise resp2.RespError("a reply that nothing asked for")
-        self.link.out.pop(order.attempt, None)
-        ended = outcome(order.attempt, reply)
-        if ended.ending is Ending.ERROR:
-            log.debug("node error", node=self.place[0], reply=str(reply)[:120])
+    def finished(self, ended: Ended) -> None:
+        """Post an attempt's end and wait idle for the next one."""
+        self.order = None
+        self.link.out.pop(ended.attempt, None)
         self.link.idle.setdefault(self.place, []).append(self)
         self.mark = self.link.deadlines.add(self.link.clock() + self.link.idle_ns, self.end)
         self.link.post(ended)
 
     def end(self) -> None:
-        """Close; an attempt on it never ran if its last byte was not written, else it may have."""
+        """Close, and tell of the attempt on it."""
         if self.ended:
             return
         self.ended = True
@@ -208,9 +218,29 @@
         order, self.order = self.order, None
         if order is not None:
             self.link.out.pop(order.attempt, None)
-            written = self.connected and not self.outbox.parts
-            ending = Ending.RESET if written else Ending.CONNECT_FAILED
-            self.link.post(Ended(order.attempt, ending))
+            self.link.post(Ended(order.attempt, self.ending()))
+
+
+class RespConnection(Connection):
+    """A connection that speaks RESP2."""
+
+    def parts(self, order: Dispatch) -> list[bytes]:
+        """Give the command."""
+        payload = order.payload
+        assert isinstance(payload, RespPayload)
+        return payload.parts(order.wait_ns)
+
+    async def read(self) -> None:
+        """Read a reply once it is whole."""
+        inbox = self.inbox
+        piece = resp2.parse(inbox.data, inbox.start, inbox.end)
+        if piece is None:
+            return
+        reply, inbox.start = piece
+        inbox.shrink()
+        if self.order is None or inbox.start != inbox.end:
+            raise resp2.RespError("a reply that nothing asked for")
+        self.finished(outcome(self.order.attempt, reply))
 
 
 def outcome(attempt: int, reply: resp2.Value) -> Ended:
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -3,7 +3,8 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable, Sequence
+from functools import partial
 from typing import Protocol
 
 import anyio
@@ -15,9 +16,9 @@
 from runloft.decisions.contract import ListKind
 from runloft.fronts.resp import RespFront, Translator
 from runloft.net.discovery import Watch, listed
-from runloft.net.links import RespLink
+from runloft.net.links import NodeLink, RespConnection
 from runloft.net.sockets import close, listening
-from runloft.settings import Config
+from runloft.settings import Config, ObjectSettings
 
 log = structlog.get_logger()
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
@@ -52,6 +53,23 @@
         """Close everything."""
 
 
+class Front(Protocol):
+    """A listening side."""
+
+    @property
+    def clients(self) -> Collection[object]:
+        """Its open connections."""
+
+    async def accept(self, listener: socket.socket) -> None:
+        """Accept until the listener closes."""
+
+    def accept_waiting(self, listener: socket.socket) -> bool:
+        """Accept what is there."""
+
+    def stop(self) -> None:
+        """Close connections between requests."""
+
+
 class Runner:
     """The turn: what has come since the last one goes to the reducer in one step."""
 
@@ -59,7 +77,6 @@
         self.core, self.deadlines, self.clock = core, deadlines, clock
         self.links: dict[str, Link] = {}
         self.events: list[Event] = []
-        self.attempt_links: dict[int, Link] = {}
         self._wake = anyio.Event()
 
     def post(self, event: Event) -> None:
@@ -116,7 +133,7 @@
     core = Core(config.settings, config.seed, clock(), deadlines)
     runner = Runner(core, deadlines, clock)
     async with anyio.create_task_group() as group:
-        runner.links["resp"] = RespLink(
+        runner.links["resp"] = NodeLink(
             group,
             runner.post,
             deadlines,
@@ -124,40 +141,74 @@
             config.settings.connect_timeout_ns or 1_000_000_000,
             config.conn_idle_ns,
             most=config.max_sockets // 4,
+            kind=RespConnection,
         )
         translator = Translator(config.class_names, config.plan_names)
-        most = int(config.max_sockets * CLIENT_PART)
-        front = RespFront(group, runner.post, clock, translator, most)
+        most = int(config.max_sockets * (CLIENT_PART / 2 if config.objects else CLIENT_PART))
+        fronts: list[Front] = [RespFront(group, runner.post, clock, translator, most)]
+        listeners = [listening(config.listen)]
+        store = None
+        if config.objects:
+            # Loaded here: the platform, where it is off, needs neither its memory nor its start-up time.
+            from runloft.fronts.objects import ObjectFront
+            from runloft.net.http_link import HttpConnection
+            from runloft.shared_store import SharedStore
+
+            store = SharedStore(config.objects.store)
+            fronts.append(ObjectFront(group, runner.post, config, config.objects, store, most))
+            listeners.append(listening(config.objects.listen))
+            runner.links["http"] = NodeLink(
+                group,
+                runner.post,
+                deadlines,
+                clock,
+                config.settings.connect_timeout_ns or 1_000_000_000,
+                config.conn_idle_ns,
+                most=config.max_sockets // 8,
+                kind=HttpConnection,
+                endpoint=partial(object_endpoint, config.objects),
+            )
         runner.post(listed(config.known, config.zones, ListKind.CACHED))
         rev = int(config.known.get("rev", 0) or 0)
         watch = Watch(config.discovery, rev, config.zones, runner.post, deadlines, clock)
         group.start_soon(runner.run)
         group.start_soon(watch.run)
-        listener = listening(config.listen)
-        group.start_soon(front.accept, listener)
-        log.info("serving", name=config.name, listen=f"{config.listen[0]}:{config.listen[1]}")
+        for front, listener in zip(fronts, listeners, strict=True):
+            group.start_soon(front.accept, listener)
+            host, port = listener.getsockname()
+            log.info("serving", name=config.name, front=type(front).__name__, at=f"{host}:{port}")
         await _stopped()
-        await wind_down(front, listener, core)
+        await wind_down(fronts, listeners, core)
         for link in runner.links.values():
             link.close()
+        if store:
+            await store.close()
         group.cancel_scope.cancel()
     log.info("stopped", name=config.name)
 
 
+def object_endpoint(settings: ObjectSettings, news: NodeNews) -> str:
+    """Find a node's object server: as its entry says, or at the port of the operator's file."""
+    host = news.endpoint.rpartition(":")[0]
+    return news.object_endpoint or f"{host}:{settings.server_port}"
+
+
 async def _stopped() -> None:
     with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
         async for _ in signals:
             return
 
 
-async def wind_down(front: RespFront, listener: socket.socket, core: Core) -> None:
+async def wind_down(fronts: Sequence[Front], listeners: Sequence[socket.socket], core: Core) -> None:
     """Go on for a while, then stop listening and answer all that was taken."""
-    log.info("stopping", open=len(core.requests), clients=len(front.clients))
+    log.info("stopping", open=len(core.requests))
     await anyio.sleep(GRACE_S)
-    front.accept_waiting(listener)  # what the kernel has accepted may carry a request
-    close(listener)
+    for front, listener in zip(fronts, listeners, strict=True):
+        front.accept_waiting(listener)  # what the kernel has accepted may carry a request
+        close(listener)
     while True:
-        front.stop()
-        if not front.clients and not core.requests:
+        for front in fronts:
+            front.stop()
+        if not core.requests and not any(front.clients for front in fronts):
             return
         await anyio.sleep(0.02)
--- a/runloft/settings.py
+++ b/runloft/settings.py
@@ -6,7 +6,8 @@
 
 import json
 import math
-from dataclasses import dataclass, field
+import tomllib
+from dataclasses import dataclass
 from pathlib import Path
 from typing import Any
 
@@ -32,6 +33,33 @@
         self.faults = faults
 
 
+OPERATIONS = ("get", "head", "put", "delete", "create", "part", "complete", "abort", "parts")
+TOP_KEYS = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "objects"}
+OBJECT_KEYS = {"listen", "store", "unit_bytes", "max_body", "server_port", "classes", "volumes"}
+
+
+@dataclass(frozen=True, slots=True)
+class VolumeSettings:
+    """A volume of the object API."""
+
+    id: int
+    plan: int
+    hosts: float = 1.0
+
+
+@dataclass(frozen=True, slots=True)
+class ObjectSettings:
+    """The object API, where an operator's file sets it up."""
+
+    listen: tuple[str, int]
+    store: str
+    classes: dict[str, int]
+    volumes: dict[str, VolumeSettings]
+    unit_bytes: int = 65536
+    max_body: int = 8 << 20
+    server_port: int = 0  # of object servers whose entry in the list names no address for it
+
+
 @dataclass(frozen=True, slots=True)
 class Config:
     """What one scheduler is told."""
@@ -47,7 +75,7 @@
     conn_idle_ns: int
     max_sockets: int
     zones: tuple[str, ...] = ()
-    raw: dict[str, Any] = field(default_factory=dict)
+    objects: ObjectSettings | None = None
 
 
 def address(text: str) -> tuple[str, int]:
@@ -83,19 +111,21 @@
 
 
 def load_config(path: str) -> Config:
-    """Read and check the platform's configuration file."""
+    """Read and check the platform's JSON or an operator's TOML, which may hold no unknown keys."""
+    is_toml = path.endswith(".toml")
     try:
-        raw = json.loads(Path(path).read_text())
+        text = Path(path).read_text()
+        raw = tomllib.loads(text) if is_toml else json.loads(text)
     except (OSError, ValueError) as error:
         raise ConfigError([f"{path}: {error}"]) from error
-    return config_from_json(raw)
+    return config_from_json(raw, strict=is_toml)
 
 
-def config_from_json(raw: Any) -> Config:
+def config_from_json(raw: Any, strict: bool = False) -> Config:
     """Check and translate a configuration; every fault is named by its key."""
     if not isinstance(raw, dict):
         raise ConfigError(["(top): an object is wanted"])
-    faults: list[str] = []
+    faults: list[str] = [f"{key}: unknown" for key in raw if strict and key not in TOP_KEYS]
 
     def place(key: str) -> tuple[str, int]:
         try:
@@ -127,6 +157,10 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 0
     if not isinstance(sockets, int) or sockets < 32:
         faults.append("limits.sockets: a number of at least 32 is wanted")
+    class_names, plan_names = _names(pairs, "Classes"), _names(pairs, "ServiceLevels")
+    objects = None
+    if "objects" in raw:
+        objects = _objects(raw["objects"], class_names, plan_names, faults, strict)
     if faults:
         raise ConfigError(faults)
     return Config(
@@ -136,15 +170,70 @@
         seed=seed,
         known=known,
         settings=settings,
-        class_names=_names(pairs, "Classes"),
-        plan_names=_names(pairs, "ServiceLevels"),
+        class_names=class_names,
+        plan_names=plan_names,
         conn_idle_ns=int(float(pairs.get("Limits.ConnIdle", "0") or 0)) or 15_000_000_000,
         max_sockets=sockets,
         zones=tuple(name for name in pairs.get("Localities", "").split(",") if name),
-        raw=raw,
+        objects=objects,
     )
 
 
+def _objects(
+    raw: Any, class_names: tuple[str, ...], plan_names: tuple[str, ...], faults: list[str], strict: bool
+) -> ObjectSettings | None:
+    if not isinstance(raw, dict):
+        faults.append("objects: an object is wanted")
+        return None
+    before = len(faults)
+    faults += [f"objects.{key}: unknown" for key in raw if strict and key not in OBJECT_KEYS]
+    listen = ("", 0)
+    try:
+        listen = address(str(raw["listen"]))
+    except (KeyError, ValueError) as error:
+        faults.append(f"objects.listen: {'missing' if isinstance(error, KeyError) else error}")
+    store = raw.get("store")
+    if not isinstance(store, str) or not store.startswith("redis://"):
+        faults.append("objects.store: an address of the form redis://host:port/0 is wanted")
+    numbers = {"unit_bytes": (65536, 1, 1 << 30), "max_body": (8 << 20, 1, 16 << 20)}
+    numbers["server_port"] = (0, 0, 65535)
+    got = {}
+    for key, (default, least, most) in numbers.items():
+        value = got[key] = raw.get(key, default)
+        if isinstance(value, bool) or not isinstance(value, int) or not least <= value <= most:
+            faults.append(f"objects.{key}: a whole number from {least} to {most} is wanted")
+    classes, table = {}, raw.get("classes")
+    table = table if isinstance(table, dict) else {}
+    faults += [f"objects.classes.{key}: unknown operation" for key in table if key not in OPERATIONS]
+    for name in OPERATIONS:
+        if table.get(name) in class_names:
+            classes[name] = class_names.index(table[name])
+        else:
+            faults.append(f"objects.classes.{name}: one of {', '.join(class_names)} is wanted")
+    volumes, table = {}, raw.get("volumes")
+    if not isinstance(table, dict) or not table:
+        faults.append("objects.volumes: at least one volume is wanted")
+        table = {}
+    for name, entry in table.items():
+        path = f"objects.volumes.{name}"
+        entry = entry if isinstance(entry, dict) else {}
+        if entry.get("plan") not in plan_names:
+            faults.append(f"{path}.plan: one of {', '.join(plan_names)} is wanted")
+        hosts = entry.get("hosts", 1)
+        if isinstance(hosts, bool) or not isinstance(hosts, int | float) or hosts < 1:
+            faults.append(f"{path}.hosts: a number of at least 1 is wanted")
+        try:
+            id_ = int(str(entry["id"]), 16)
+        except (KeyError, ValueError):
+            faults.append(f"{path}.id: 16 hexadecimal digits are wanted")
+            continue
+        if entry.get("plan") in plan_names:
+            volumes[name] = VolumeSettings(id_, plan_names.index(entry["plan"]), hosts)
+    if len(faults) > before:
+        return None
+    return ObjectSettings(listen, str(store), classes, volumes, **got)
+
+
 def _names(pairs: dict[str, str], table: str) -> tuple[str, ...]:
     return tuple(pairs.get(f"{table}.{i}.Name", str(i)) for i in range(int(pairs.get(f"{table}.count", 0))))
 
--- /dev/null
+++ b/tests/test_objects.py
@@ -0,0 +1,318 @@
+"""The object API from end to end: the program, object servers, the shared store, discovery."""
+
+import http.client
+import re
+import socket
+import threading
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.standins import Discovery, ObjectServer, Program, Redis, RespNode, config, entry, until
+
+ITEM = "/volumes/tracks/objects/2026/run.csv"
+
+
+class World:
+    """One sidecar with two shards behind it."""
+
+    def __init__(self, path, **extra):
+        self.store, self.discovery = Redis(), Discovery()
+        self.servers = [ObjectServer(), ObjectServer()]
+        self.nodes = [
+            entry("127.0.0.1:9", f"s-{n}", n, objects=s.address) for n, s in enumerate(self.servers)
+        ]
+        self.program = Program(
+            config(self.discovery.address, self.nodes, self.store.address, **extra), path / "config.json"
+        )
+
+    def http(self):
+        return http.client.HTTPConnection("127.0.0.1", self.program.ports["ObjectFront"], timeout=10)
+
+    def ask(self, method, target=ITEM, body=None, headers=None, conn=None):
+        conn = conn or self.http()
+        conn.request(method, target, body, headers or {})
+        answer = conn.getresponse()
+        return answer.status, dict(answer.headers), answer.read()
+
+    def holder(self):
+        """Which server got the last object or upload."""
+        return next(s for s in self.servers if s.objects or s.uploads)
+
+    def close(self):
+        self.program.close()
+        for part in (self.store, self.discovery, *self.servers):
+            part.close()
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = World(tmp_path)
+    yield made
+    made.close()
+
+
+def start_upload(world):
+    status, _, body = world.ask("POST", ITEM + "?uploads")
+    assert status == 200
+    return re.search(rb"<UploadId>(\w+)</UploadId>", body)[1].decode()
+
+
+def test_an_object_is_written_read_by_ranges_and_deleted(world):
+    conn = world.http()
+    assert world.ask("GET", conn=conn)[0] == 404
+    status, headers, _ = world.ask("PUT", body=b"0123456789", conn=conn)
+    assert (status, headers["ETag"]) == (200, '"e1"')
+    assert world.ask("GET", conn=conn)[2] == b"0123456789"
+    status, headers, body = world.ask("HEAD", conn=conn)
+    assert (status, headers["Content-Length"], body) == (200, "10", b"")
+    for text, want, span in (
+        ("bytes=2-4", b"234", "bytes 2-4/10"),
+        ("bytes=7-", b"789", "bytes 7-9/10"),
+        ("bytes=-2", b"89", "bytes 8-9/10"),
+    ):
+        status, headers, body = world.ask("GET", headers={"Range": text}, conn=conn)
+        assert (status, headers["Content-Range"], body) == (206, span, want)
+    status, headers, _ = world.ask("GET", headers={"Range": "bytes=20-"}, conn=conn)
+    assert (status, headers["Content-Range"]) == (416, "bytes */10")
+    changed = {"Range": "bytes=2-4", "If-Range": '"e0"'}
+    assert world.ask("GET", headers=changed, conn=conn)[::2] == (200, b"0123456789")
+    several = {"Range": "bytes=1-2,4-5"}
+    assert world.ask("GET", headers=several, conn=conn)[::2] == (200, b"0123456789")
+    assert world.ask("DELETE", conn=conn)[0] == 204
+    assert world.ask("GET", conn=conn)[0] == 404
+    assert world.ask("DELETE", conn=conn)[0] == 204
+
+
+def test_an_upload_is_assembled_by_the_node_that_began_it(world):
+    upload = start_upload(world)
+    for number in (2, 1):
+        target = f"{ITEM}?partNumber={number}&uploadId={upload}"
+        assert world.ask("PUT", target, b"part%d;" % number)[0] == 200
+    assert b"<PartNumber>2</PartNumber>" in world.ask("GET", f"{ITEM}?uploadId={upload}")[2]
+    assert world.ask("POST", f"{ITEM}?uploadId={upload}", b"<CompleteMultipartUpload/>")[0] == 200
+    assert world.ask("GET")[2] == b"part1;part2;"
+    assert world.ask("PUT", f"{ITEM}?partNumber=3&uploadId={upload}", b"x")[0] == 404
+    other = start_upload(world)
+    assert world.ask("DELETE", f"{ITEM}?uploadId={other}")[0] == 204
+    assert world.ask("GET", f"{ITEM}?uploadId={other}")[0] == 404
+
+
+@pytest.mark.parametrize(
+    ("request_", "status"),
+    [
+        (b"GET /elsewhere HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"GET /volumes/none/objects/k HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"PATCH /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n\r\n", 405),
+        (b"PUT /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n\r\n", 411),
+        (b"PUT /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n", 411),
+        (b"PUT /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\nContent-Length: 9999999\r\n\r\n", 413),
+        (b"PUT /volumes/tracks/objects/k?partNumber=0&uploadId=a HTTP/1.1\r\nHost: x\r\n\r\n", 400),
+        (b"PUT /volumes/tracks/objects/k?partNumber=1 HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\n\r\n", 400),
+        (b"GET /volumes/tracks/objects/k?uploadId=a HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"HEAD /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n\r\n", 404),
+        (b"nonsense\r\n\r\n", 400),
+        (b"GET /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\nX: " + b"y" * 40000 + b"\r\n\r\n", 431),
+    ],
+)
+def test_bad_input_is_named_and_never_reaches_a_node(world, request_, status):
+    with world.program.connect("ObjectFront") as sock:
+        sock.sendall(request_)
+        assert int(sock.recv(65536).split()[1]) == status
+    assert not any(server.log for server in world.servers)
+    assert world.ask("PUT", body=b"still serving")[0] == 200
+
+
+def test_the_store_down_is_503_with_a_time_to_come_back(world):
+    world.ask("PUT", body=b"x")
+    world.store.close()
+    status, headers, _ = world.ask("GET")
+    assert status == 503 and int(headers["Retry-After"]) >= 1
+
+
+def test_a_silent_node_is_504_and_a_failing_one_502(world):
+    world.ask("PUT", body=b"x")
+    server = world.holder()
+    server.held.clear()
+    began = time.monotonic()
+    status, _, _ = world.ask("GET", headers={"X-Expires-In-Ms": "400"})
+    assert status == 504 and time.monotonic() - began < 3
+    server.held.set()
+    server.act = lambda *_: (500, {}, b"")
+    assert world.ask("GET")[0] == 502
+
+
+def test_a_full_node_is_refused_with_a_time(world):
+    world.ask("PUT", body=b"x")
+    world.holder().act = lambda *_: (503, {}, b"")
+    status, headers, _ = world.ask("GET", headers={"X-Expires-In-Ms": "900"})
+    assert status == 503 and int(headers["Retry-After"]) >= 1
+
+
+class HalfServer(ObjectServer):
+    """Sends a head and a part of the body, then waits for the test's word."""
+
+    def __init__(self):
+        self.go, self.closed, self.body = threading.Event(), threading.Event(), b"a" * 1000
+        super().__init__()
+
+    def serve(self, conn, lines):
+        while lines.readline().strip():
+            pass
+        conn.sendall(b"HTTP/1.1 206 P\r\nContent-Length: 9000000\r\n\r\n" + self.body)
+        if self.go.is_set():
+            return
+        while lines.readline():
+            pass
+        self.closed.set()
+
+
+def half_world(world):
+    world.ask("PUT", body=b"x")
+    place = next(n for n, s in enumerate(world.servers) if s.objects)
+    half = HalfServer()
+    world.discovery.tell(entry("127.0.0.1:9", f"s-{place}", place, objects=half.address))
+    until(lambda: world.ask("HEAD", "/volumes/tracks/objects/none")[0] == 404)
+    time.sleep(0.1)
+    return half
+
+
+def test_a_client_that_drops_mid_range_frees_its_attempt_and_connection(world):
+    half = half_world(world)
+    with world.program.connect("ObjectFront") as sock:
+        sock.sendall(f"GET {ITEM} HTTP/1.1\r\nHost: x\r\nRange: bytes=0-8999999\r\n\r\n".encode())
+        assert until(lambda: sock.recv(65536)).startswith(b"HTTP/1.1 206")
+    assert half.closed.wait(5)  # the node's side is closed soon after the client's
+    half.close()
+
+
+def test_an_answer_that_breaks_off_ends_short_of_its_length(world):
+    half = half_world(world)
+    half.go.set()
+    with world.program.connect("ObjectFront") as sock:
+        sock.sendall(f"GET {ITEM} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        got = b""
+        while data := sock.recv(65536):
+            got += data
+    head, _, body = got.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 206") and len(body) == 1000
+    half.close()
+
+
+def test_a_slow_reader_holds_its_node_back_not_the_memory(world):
+    world.ask("PUT", body=b"x")
+    data = bytes(48 << 20)
+    world.holder().objects[ITEM] = data
+    memory = Path(f"/proc/{world.program.process.pid}/statm")
+    before = int(memory.read_text().split()[1])
+    with world.program.connect("ObjectFront") as sock:
+        sock.sendall(f"GET {ITEM} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        sock.recv(1, socket.MSG_PEEK)
+        time.sleep(0.3)
+        assert (int(memory.read_text().split()[1]) - before) * 4096 < 16 << 20
+        got = 0
+        while got < len(data):
+            got += len(sock.recv(1 << 20))
+
+
+def test_parts_that_land_in_a_drain_wait_for_the_new_holder_and_none_is_lost_or_doubled(world):
+    upload = start_upload(world)
+    target = f"{ITEM}?partNumber=%d&uploadId={upload}"
+    assert world.ask("PUT", target % 1, b"one;")[0] == 200
+    old = world.holder()
+    place = world.servers.index(old)
+    world.discovery.tell(entry("127.0.0.1:9", f"s-{place}", place, "terminating", objects=old.address))
+    time.sleep(0.3)
+    results = []
+    waiting = threading.Thread(target=lambda: results.append(world.ask("PUT", target % 2, b"two;")[0]))
+    waiting.start()
+    time.sleep(0.3)
+    assert not results and len(old.log) == 2  # it waits: the draining node gets nothing new
+    new = ObjectServer()
+    new.uploads = old.uploads  # the shard's data moves on with its new holder
+    world.discovery.tell(entry("127.0.0.1:9", "s-new", place, objects=new.address))
+    waiting.join(10)
+    assert results == [200] and [t for _, _, t in new.log] == [target % 2]
+    assert world.ask("POST", f"{ITEM}?uploadId={upload}", b"<x/>")[0] == 200
+    assert new.objects[ITEM] == b"one;two;"
+    new.close()
+
+
+def test_a_drain_with_no_new_holder_refuses_and_sends_nothing(world):
+    world.ask("PUT", body=b"x")
+    old = world.holder()
+    place = world.servers.index(old)
+    world.discovery.tell(entry("127.0.0.1:9", f"s-{place}", place, "terminated", objects=old.address))
+    time.sleep(0.3)
+    before = len(old.log)
+    status, headers, _ = world.ask("GET", headers={"X-Expires-In-Ms": "600"})
+    assert status == 503 and "Retry-After" in headers and len(old.log) == before
+
+
+def test_a_cold_node_gets_no_more_than_its_units_over_http(world):
+    world.ask("PUT", body=b"x")
+    old = world.holder()
+    place = world.servers.index(old)
+    cold = ObjectServer()
+    cold.objects = old.objects
+    world.discovery.tell(
+        entry("127.0.0.1:9", f"s-{place}", place, "terminated"),
+        entry("127.0.0.1:9", "s-cold", place, boot_ms=int(time.time() * 1000), objects=cold.address),
+    )
+    time.sleep(0.1)
+    threads = [
+        threading.Thread(target=world.ask, args=("GET",), kwargs={"headers": {"X-Expires-In-Ms": "1500"}})
+        for _ in range(40)
+    ]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(10)
+    assert 1 <= len(cold.log) <= 12  # ColdUnits, a unit each, in the rule's two seconds
+    cold.close()
+
+
+def test_mixed_floods_of_both_fronts_get_the_same_shares_and_one_answer_each(tmp_path):
+    lock = threading.Lock()  # one node, two wires: it does one thing at a time
+    served = {"resp": 0, "http": 0}
+    resp, objects = RespNode(0.01, lock), ObjectServer(0.01, lock)
+    store, discovery = Redis(), Discovery()
+    store.data[b"runloft:object:logs:k"] = b"0 1"
+    objects.objects["/volumes/logs/objects/k"] = b"v"
+    nodes = [entry(resp.address, "s-0", 0, objects=objects.address)]
+    program = Program(config(discovery.address, nodes, store.address), tmp_path / "config.json")
+    answers = []
+
+    def resp_client(number):
+        with program.connect() as sock, sock.makefile("rb") as lines:
+            for i in range(12):
+                attributes = b"c=position-read,t=basic,d=2500,volume=01,units=1,shard=0,hosts=1"
+                words = [b"IO.IN", b"0a", b"%016x" % (number * 100 + i), attributes]
+                sock.sendall(b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words))
+                line = lines.readline()
+                if line[:1] == b"$":
+                    lines.readline()
+                    served["resp"] += 1
+                answers.append(("resp", line))
+
+    def http_client(number):
+        conn = http.client.HTTPConnection("127.0.0.1", program.ports["ObjectFront"], timeout=20)
+        for _ in range(12):
+            conn.request("GET", "/volumes/logs/objects/k")
+            answer = conn.getresponse()
+            answer.read()
+            served["http"] += answer.status == 200
+            answers.append(("http", answer.status))
+
+    threads = [threading.Thread(target=c, args=(n,)) for n in range(12) for c in (resp_client, http_client)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join(60)
+    program.close()
+    for part in (resp, objects, store, discovery):
+        part.close()
+    assert len(answers) == 24 * 12  # one final answer each
+    assert len(resp.log) >= served["resp"] and len(objects.log) >= served["http"]
+    assert served["resp"] and 0.7 < served["http"] / served["resp"] < 1.4, served
