--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -21,7 +21,7 @@
 from runloft.core.model import Ask, Event, Failed, Left, Refused, Reply, Served, Taken
 from runloft.decisions.contract import Ending
 from runloft.net.http_link import HttpPayload, Stream
-from runloft.net.sockets import close
+from runloft.net.sockets import close, nothing_to_read
 from runloft.settings import Config, ObjectSettings
 from runloft.shared_store import Place, SharedStore, StoreDownError
 
@@ -185,9 +185,7 @@
     async def run(self) -> None:
         """Serve requests until the connection is over."""
         try:
-            while not self.ended and not self.front.stopping:
-                if not await self._one():
-                    break
+            while not self.ended and await self._one():
                 self.protocol.start_next_cycle()
         except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
             log.debug("client connection over", error=repr(error))
@@ -354,6 +352,8 @@
             await self._document(200, _created(asked, upload))
             return
         headers = [(n, v) for n, v in stream.headers if n.lower() not in HOP_BY_HOP]
+        if self.front.stopping:
+            headers.append((b"Connection", b"close"))
         await self._write(h11.Response(status_code=stream.status, headers=headers))
         while (piece := await stream.next()) is not None:
             await self._write(h11.Data(data=piece))
@@ -553,5 +553,5 @@
         """Close clients between requests; busy ones end after their answer."""
         self.stopping = True
         for client in list(self.clients):
-            if not client.busy:
+            if not client.busy and nothing_to_read(client.sock):
                 client.end()
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -12,7 +12,7 @@
 from runloft.core.model import Ask, Event, Left, Refused, Reply, Served, Taken
 from runloft.net import resp2
 from runloft.net.links import RespPayload
-from runloft.net.sockets import Inbox, Outbox, close
+from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
@@ -218,7 +218,7 @@
 
     def close_if_idle(self) -> None:
         """Close between requests; one that is already here is read first."""
-        if not self.ended and self.is_idle() and _nothing_to_read(self.sock):
+        if not self.ended and self.is_idle() and nothing_to_read(self.sock):
             self.end()
 
     def end(self) -> None:
@@ -236,15 +236,6 @@
         self.slots.clear()
 
 
-def _nothing_to_read(sock: socket.socket) -> bool:
-    try:
-        return not sock.recv(1, socket.MSG_PEEK)
-    except BlockingIOError:
-        return True
-    except OSError:
-        return True
-
-
 class RespFront:
     """The listening side of the platform's protocol."""
 
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -26,6 +26,8 @@
 SILENCE_NS = 5_000_000_000  # an empty line comes every 2 s
 BACKOFF_S, BACKOFF_MOST_S = 0.05, 1.0
 LINE_LIMIT = 1 << 20
+# What discovery may do to a watch; whatever it is, the watch is opened again.
+WATCH_ERRORS = (ArithmeticError, OSError, TypeError, ValueError, h11.ProtocolError, anyio.ClosedResourceError)
 
 
 def listed(message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None) -> Listed:
@@ -47,7 +49,7 @@
                     object_endpoint=str(entry.get("object_endpoint", "")),
                 )
             )
-        except (AttributeError, KeyError, TypeError, ValueError) as error:
+        except (ArithmeticError, AttributeError, KeyError, TypeError, ValueError) as error:
             log.warning("node entry passed over", error=repr(error))
     if kind is None:
         kind = ListKind.FULL if message.get("all") else ListKind.DELTA
@@ -76,7 +78,7 @@
             before = self.rev, self.clock()
             try:
                 await self._watch()
-            except (OSError, ValueError, h11.ProtocolError, anyio.ClosedResourceError) as error:
+            except WATCH_ERRORS as error:
                 log.info("watch ended", error=repr(error), rev=self.rev)
             lasted = self.clock() - before[1] > SILENCE_NS
             pause = BACKOFF_S if lasted or self.rev != before[0] else min(pause * 2, BACKOFF_MOST_S)
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -96,12 +96,14 @@
         ]
         if payload.body or payload.method in (b"PUT", b"POST"):
             headers.append((b"Content-Length", b"%d" % len(payload.body)))
-        request = h11.Request(method=payload.method, target=payload.target, headers=headers)
-        parts = [self.protocol.send(request) or b""]
-        if payload.body:
-            parts += self.protocol.send_with_data_passthrough(h11.Data(data=payload.body)) or []
-        parts += self.protocol.send_with_data_passthrough(h11.EndOfMessage()) or []
-        return parts
+        try:
+            request = h11.Request(method=payload.method, target=payload.target, headers=headers)
+            parts = [self.protocol.send(request) or b""]
+            if payload.body:
+                parts += self.protocol.send_with_data_passthrough(h11.Data(data=payload.body)) or []
+            return parts + (self.protocol.send_with_data_passthrough(h11.EndOfMessage()) or [])
+        except h11.ProtocolError as error:
+            raise ValueError(str(error)) from error
 
     async def read(self) -> None:
         """Feed what has come to the parser and act on what it makes of it."""
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -80,7 +80,12 @@
         if len(self.open) >= self.most and not self._make_room():
             self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
             return
-        connection = self.kind(self, place)
+        try:
+            connection = self.kind(self, place)
+        except OSError as error:  # out of descriptors: the attempt fails, the program goes on
+            log.warning("no connection", node=order.node.uid, error=str(error))
+            self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
+            return
         self.open.add(connection)
         connection.take(order)
         self.group.start_soon(connection.run)
@@ -148,7 +153,12 @@
         """Carry an attempt."""
         self.order = order
         self.link.out[order.attempt] = self
-        self.outbox.push(*self.parts(order))
+        try:
+            self.outbox.push(*self.parts(order))
+        except ValueError as error:  # a request that this wire can't say
+            log.warning("attempt can't be written", node=self.place[0], error=str(error))
+            self.end()
+            return
         if self.connected:
             self._flush()
 
@@ -173,6 +183,8 @@
     async def run(self) -> None:
         """Connect, then read until the connection is over."""
         link = self.link
+        if self.ended:
+            return
         self.mark = link.deadlines.add(link.clock() + link.connect_timeout_ns, self.end)
         try:
             await connect(self.sock, address(self.place[1]))
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -23,7 +23,7 @@
 log = structlog.get_logger()
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
 LATE_NS = 15_000_000
-CLIENT_PART = 0.6  # of all descriptors, for clients
+CLIENT_PART = 0.5  # of all descriptors, for clients
 
 
 class Clock:
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -114,3 +114,11 @@
     except OSError:
         return False
     return False
+
+
+def nothing_to_read(sock: socket.socket) -> bool:
+    """Whether no byte is there that a close would lose."""
+    try:
+        return not sock.recv(1, socket.MSG_PEEK)
+    except OSError:
+        return True
--- /dev/null
+++ b/runloft/operator_file.py
@@ -0,0 +1,124 @@
+"""The operator's file that ``config write`` makes: a whole, valid one to go on from."""
+
+import re
+
+NAME = re.compile(r"[a-z0-9]([a-z0-9-]{0,62}[a-z0-9])?")
+
+TEMPLATE = """\
+# runloft as the sidecar of {name}.  Check it with: python -m runloft config check FILE
+# Times in settings are nanoseconds; the names are those of the simulator's first message.
+name = "{name}"
+listen = "127.0.0.1:6379"         # RESP2
+discovery = "127.0.0.1:8500"      # the agent on this machine
+seed = "0"                        # hexadecimal
+
+[limits]
+sockets = 1024
+
+[objects]                         # leave this table out and the object API is off
+listen = "127.0.0.1:8080"
+store = "redis://127.0.0.1:6380/0" # where objects and uploads lie, shared by all sidecars
+unit_bytes = 65536                # a request counts a unit for each so many bytes
+max_body = 8388608
+server_port = 8081                # of object servers whose list entry names no object_endpoint
+
+[objects.classes]                 # each operation's class, by the names under settings.Classes
+get = "history-export"
+head = "position-read"
+put = "report-write"
+delete = "report-write"
+create = "report-write"
+part = "report-write"
+complete = "report-write"
+abort = "report-write"
+parts = "position-read"
+
+[objects.volumes.{name}]          # one table a volume, by the name in /volumes/NAME/objects/KEY
+id = "{volume}"
+plan = "standard"
+hosts = 1                         # through how many sidecars the volume works
+
+[settings]
+GroupSize = 1
+SlotNo = 0
+Tick = 2000000
+Localities = ["busan-dc1"]
+
+[[settings.Classes]]
+Name = "position-read"
+Target = 400000000
+HardLimit = 2500000000
+Importance = 2.0
+LateValue = 0.1
+Effect = "retryable"
+Group = "all"
+
+[[settings.Classes]]
+Name = "report-write"
+Target = 600000000
+HardLimit = 5000000000
+Importance = 2.0
+LateValue = 0.15
+Effect = "retryable"
+Group = "all"
+
+[[settings.Classes]]
+Name = "history-export"
+Target = 1500000000
+HardLimit = 5000000000
+Importance = 1.0
+LateValue = 0.3
+Effect = "retryable"
+Group = "all"
+
+[[settings.ServiceLevels]]
+Name = "basic"
+BaseRate = 3.0
+Guaranteed = 0.0
+Parts = 1.0
+ValueFactor = 0.8
+
+[[settings.ServiceLevels]]
+Name = "standard"
+BaseRate = 4.5
+Guaranteed = 4.5
+Parts = 2.0
+ValueFactor = 0.9
+
+[[settings.ServiceLevels]]
+Name = "premium"
+BaseRate = 12.0
+Guaranteed = 9.6
+Parts = 6.0
+ValueFactor = 1.4
+
+[settings.Extra]
+ClassWrites = [false, true, false]
+ColdUnits = 12.0
+MaxUnits = 6
+UsualUnits = 2.08
+WithinShare = 0.3
+BeyondShare = 0.08
+
+[settings.Limits]
+AttemptsCap = 3
+Cancel = true
+ConnIdle = 15000000000
+ConnectTimeout = 250000000
+MaxRetryAfter = 2000000000
+
+[settings.Safety]
+Cold = 18000000000
+ColdFrom = 0.23
+DrainGrace = 1000000000
+Fall = 2000000000
+FallMultiple = 2.0
+"""
+
+
+def operator_file(application: str) -> str:
+    """Give the file for an application; ValueError where its name can't name a volume."""
+    if not NAME.fullmatch(application):
+        raise ValueError("an application's name holds lower-case letters, digits and inner hyphens")
+    digits = "".join(f"{byte:02x}" for byte in application.encode()[-8:])
+    return TEMPLATE.format(name=application, volume=digits.rjust(16, "0"))
--- /dev/null
+++ b/tests/test_cli.py
@@ -0,0 +1,143 @@
+"""The command line, and the program's start and end."""
+
+import json
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from runloft.cli import main
+from runloft.settings import ConfigError, config_from_json, flatten, load_config, settings_from_wire
+from tests.standins import Discovery, Program, RespNode, config, entry
+
+ROOT = Path(__file__).parent.parent
+READ = b"c=position-read,t=basic,d=2000,volume=01,units=1,shard=0,hosts=1"
+ASK = b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in (b"IO.IN", b"0a", b"1", READ))
+
+
+def test_the_json_settings_and_the_simulators_lines_have_one_translation():
+    nested = {"Classes": [{"Name": "a", "HardLimit": 5, "InTurn": True}], "Limits": {"AttemptsCap": 3}}
+    nested |= {"Extra": {"ClassWrites": [True, False]}}
+    pairs = flatten(nested)
+    assert pairs == {
+        "Classes.count": "1",
+        "Classes.0.Name": "a",
+        "Classes.0.HardLimit": "5",
+        "Classes.0.InTurn": "true",
+        "Limits.AttemptsCap": "3",
+        "Extra.ClassWrites": "true,false",
+    }
+    got = settings_from_wire(pairs)
+    assert got.classes[0].in_order and got.classes[0].writes and got.max_attempts == 3
+
+
+def test_a_written_file_is_valid_and_never_written_over(tmp_path, capsys):
+    path = tmp_path / "side.toml"
+    assert main(["config", "write", "--application", "export-history", "--output", str(path)]) == 0
+    assert main(["config", "check", str(path)]) == 0
+    got = load_config(str(path))
+    assert got.objects is not None and "export-history" in got.objects.volumes
+    assert main(["config", "write", "--application", "export-history", "--output", str(path)]) == 1
+    assert main(["config", "write", "--application", "No Name"]) == 1
+    assert "lower-case" in capsys.readouterr().err
+
+
+def test_the_sidecars_file_is_valid():
+    assert main(["config", "check", str(ROOT / "deploy" / "sidecar.toml")]) == 0
+
+
+@pytest.mark.parametrize(
+    ("path", "value", "fault"),
+    [
+        ("listen", "nowhere", "listen"),
+        ("discovery", None, "discovery"),
+        ("seed", "xyz", "seed"),
+        ("extra", 1, "extra"),
+        ("limits.sockets", 3, "limits.sockets"),
+        ("settings.Classes", [], "settings.Classes"),
+        ("settings.ServiceLevels", None, "settings.ServiceLevels"),
+        ("objects.listen", "x", "objects.listen"),
+        ("objects.store", "http://x", "objects.store"),
+        ("objects.max_body", 0, "objects.max_body"),
+        ("objects.colour", 1, "objects.colour"),
+        ("objects.classes.get", "none", "objects.classes.get"),
+        ("objects.classes.fetch", "position-read", "objects.classes.fetch"),
+        ("objects.volumes", {}, "objects.volumes"),
+        ("objects.volumes.side.plan", "gold", "objects.volumes.side.plan"),
+        ("objects.volumes.side.hosts", 0, "objects.volumes.side.hosts"),
+        ("objects.volumes.side.id", "xx", "objects.volumes.side.id"),
+    ],
+)
+def test_each_fault_is_named_by_its_key(path, value, fault, capsys):
+    assert main(["config", "write", "--application", "side"]) == 0
+    raw = tomllib.loads(capsys.readouterr().out)
+    *way, last = path.split(".")
+    inner = raw
+    for key in way:
+        inner = inner[key]
+    if value is None:
+        del inner[last]
+    else:
+        inner[last] = value
+    with pytest.raises(ConfigError) as found:
+        config_from_json(raw, strict=True)
+    assert any(text.startswith(fault + ":") for text in found.value.faults), found.value.faults
+
+
+def test_serve_and_check_name_faults_alike_and_end_with_1(tmp_path):
+    path = tmp_path / "c.json"
+    path.write_text(json.dumps({"listen": "x"}))
+    for words in (["serve", "--config"], ["config", "check"]):
+        done = subprocess.run(
+            [sys.executable, "-m", "runloft", *words, str(path)], capture_output=True, text=True, timeout=20
+        )
+        assert done.returncode == 1
+        for key in ("listen:", "discovery: missing", "settings.Classes:"):
+            assert f"runloft: {key}" in done.stderr
+
+
+def test_version_names_the_program(capsys):
+    assert main(["version"]) == 0
+    assert capsys.readouterr().out.startswith("runloft 0.")
+
+
+@pytest.fixture
+def served(tmp_path):
+    node, discovery = RespNode(delay=0.4), Discovery()
+    program = Program(config(discovery.address, [entry(node.address)]), tmp_path / "config.json")
+    yield program, node, discovery
+    program.close()
+    node.close()
+    discovery.close()
+
+
+def test_at_sigterm_what_was_taken_is_answered_and_the_program_ends_with_0(served):
+    program, _, _ = served
+    idle, busy = program.connect(), program.connect()
+    busy.sendall(ASK)
+    program.process.terminate()
+    late = program.connect()  # new connections go on being served for a while
+    late.sendall(ASK)
+    assert busy.makefile("rb").readline() == b"$2\r\n"
+    assert late.makefile("rb").readline() == b"$2\r\n"
+    assert idle.recv(1) == b""
+    assert program.process.wait(10) == 0
+
+
+def test_the_watch_starts_at_the_known_version_and_is_opened_again(served):
+    program, node, discovery = served
+    discovery.tell(entry(node.address, state="terminating"))
+    assert b"index=1" in discovery.asked[0]
+    discovery.watches[0].close()
+    discovery.connections[0].shutdown(2)
+    with program.connect() as sock:
+        sock.sendall(ASK.replace(b"d=2000", b"d=0900"))
+        assert sock.recv(100).startswith(b"-BUSY ")  # it drains: nothing was sent there
+    assert not node.log
+    discovery.tell(entry(node.address, "s-2"))
+    with program.connect() as sock:
+        sock.sendall(ASK)
+        assert sock.recv(100).startswith(b"$2\r\n")
+    assert b"index=2" in discovery.asked[1]
--- /dev/null
+++ b/tests/test_core.py
@@ -0,0 +1,163 @@
+"""The reducer by itself, with a clock of its own: events in, effects out."""
+
+from dataclasses import dataclass
+
+import pytest
+
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import (
+    Abandon,
+    Answer,
+    Ask,
+    Began,
+    Begin,
+    Dispatch,
+    Ended,
+    Failed,
+    Left,
+    Listed,
+    NodeNews,
+    Refused,
+    Served,
+    Taken,
+)
+from runloft.core.reducer import Core
+from runloft.decisions.contract import Cancel, Ending, Fail, ListKind, NodeState, Outcome, Refuse, Send, Timer
+from tests.driver import MS, SECOND, klass, settings
+
+NODE = NodeNews("s-1", "127.0.0.1:1", 0)
+
+
+@dataclass(eq=False)
+class Payload:
+    wire: str = "resp"
+    held_bytes: int = 100
+
+
+class Script:
+    """A module that answers with what the test puts in, and notes what it was told."""
+
+    def __init__(self):
+        self.told, self.plans = [], []
+
+    def handle(self, now, events):
+        self.told += events
+        return self.plans.pop(0) if self.plans else []
+
+    def outcomes(self):
+        return [(e.id, e.attempt, e.ending, e.complete) for e in self.told if isinstance(e, Outcome)]
+
+
+class Turns:
+    """A core, its clock and a scripted module."""
+
+    def __init__(self, scripted=True, **more):
+        self.now, self.deadlines = SECOND, Deadlines()
+        self.core = Core(settings(klass(deadline=600), **more), 1, self.now, self.deadlines)
+        self.script = Script()
+        if scripted:
+            self.core.scheduler = self.script
+        self.step(Listed(ListKind.CACHED, (NODE,)))
+
+    def step(self, *events, after=0, plan=()):
+        self.now += int(after * MS)
+        if plan:
+            self.script.plans.append(list(plan))
+        return self.core.step(self.now, events)
+
+    def take(self, plan=(), wire="resp", **more):
+        asker = object()
+        facts = {"shard": 0, "payload": Payload(wire)} | more
+        return asker, self.step(Taken(asker, Ask(0, 0, 1, 1.0, 600 * MS, **facts)), plan=plan)
+
+
+def test_the_first_ok_is_the_answer_and_what_comes_after_it_is_passed_over():
+    turns = Turns()
+    asker, (sent,) = turns.take([Send(1, 1)])
+    assert isinstance(sent, Dispatch) and sent.wait_ns == 600 * MS
+    assert turns.step(Ended(1, Ending.OK, b"v"), after=5) == [Answer(asker, Served(b"v", "s-1", 0))]
+    assert turns.step(Ended(1, Ending.RESET), Left(asker), plan=[Refuse(1)]) == []
+    assert turns.script.outcomes() == [(1, 0, Ending.OK, True)]
+    assert not turns.core.requests and not turns.core.attempts
+
+
+def test_a_timed_out_attempt_is_closed_before_the_resend_and_has_one_outcome():
+    turns = Turns()
+    turns.take([Send(1, 1, 100 * MS)])
+    effects = turns.step(after=100, plan=[Send(1, 1)])
+    assert [type(e) for e in effects] == [Abandon, Dispatch] and effects[0].attempt == 1
+    turns.step(Ended(1, Ending.OK, b"late"))
+    assert turns.script.outcomes() == [(1, 0, Ending.TIMEOUT, False)]
+
+
+@pytest.mark.parametrize("twice", [Send(1, 1), Send(1, 9), Send(1, 2)])
+def test_a_moot_send_never_leaves_and_its_outcome_comes_in_the_next_turn(twice):
+    turns = Turns()
+    turns.step(Listed(ListKind.DELTA, (NodeNews("s-2", "127.0.0.1:2", 1),)))
+    _, effects = turns.take([Send(1, 1), twice])  # a second copy, an unknown node, another shard
+    assert len(effects) == 1
+    assert turns.core.next_at(turns.now) == turns.now
+    turns.step()
+    assert [o[2] for o in turns.script.outcomes()] == [Ending.MOOT]
+
+
+@pytest.mark.parametrize("finish", [Refuse(1, 7), Fail(1)])
+def test_a_final_answer_is_given_once_and_the_attempt_still_has_its_outcome(finish):
+    turns = Turns()
+    asker, effects = turns.take([Send(1, 1), finish, Refuse(1), Fail(1), Send(1, 1)])
+    reply = Refused(7) if isinstance(finish, Refuse) else Failed()
+    assert effects[1:] == [Answer(asker, reply)]
+    assert turns.step(Ended(1, Ending.OK, b"v"), after=1) == []
+    assert sorted(o[2].name for o in turns.script.outcomes()) == ["MOOT", "OK"]
+
+
+def test_a_cancel_closes_and_is_reported_once():
+    turns = Turns()
+    asker, _ = turns.take([Send(1, 1)])
+    assert turns.step(Left(asker), plan=[Cancel(1, 0)]) == [Abandon(1)]
+    turns.step(Ended(1, Ending.RESET))
+    assert turns.script.outcomes() == [(1, 0, Ending.CANCELLED, True)]
+
+
+def test_a_streamed_answer_has_no_deadline_and_a_break_ends_it_as_failed():
+    turns = Turns()
+    asker, _ = turns.take([Send(1, 1)])
+    assert turns.step(Began(1, "head"), after=10) == [Begin(asker, "head", "s-1", 0)]
+    assert turns.step(after=5000) == []
+    assert turns.step(Ended(1, Ending.RESET)) == [Answer(asker, Failed(Ending.RESET))]
+
+
+def test_a_client_that_leaves_mid_stream_frees_the_attempt():
+    turns = Turns()
+    asker, _ = turns.take([Send(1, 1)])
+    turns.step(Began(1, "head"))
+    assert turns.step(Left(asker)) == [Abandon(1)]
+    turns.step()
+    assert turns.script.outcomes() == [(1, 0, Ending.CANCELLED, True)] and not turns.core.requests
+
+
+def test_timers_fire_in_a_later_turn_in_the_order_of_their_times():
+    turns = Turns()
+    turns.step(Listed(ListKind.DELTA), plan=[Timer(0, 5), Timer(turns.now + 9 * MS, 6)])
+    turns.step(after=1)
+    turns.step(after=9)
+    tokens = [e.token for e in turns.script.told if hasattr(e, "token")]
+    assert tokens == [5, 6] and turns.deadlines.next_at() is None
+
+
+def test_a_flood_on_one_wire_leaves_room_for_the_other():
+    turns = Turns()
+    big = Payload("http", 8 << 20)
+    answers = [turns.take(payload=big)[1] for _ in range(4)]
+    assert answers[:3] == [[], [], []] and answers[3][0].reply == Refused()
+    assert turns.take(wire="resp")[1] == []
+
+
+def test_with_the_module_every_request_has_one_answer_by_its_deadline():
+    turns = Turns(scripted=False)
+    askers, answered = [turns.take()[0] for _ in range(40)], []
+    turns.step(Listed(ListKind.DELTA, (NodeNews("s-1", "", 0, NodeState.DRAINING),)))
+    for _ in range(700):
+        answered += [e.asker for e in turns.step(after=1) if isinstance(e, Answer)]
+    assert len(answered) == len(set(answered)) and set(answered) <= set(askers)
+    assert not turns.core.requests and not turns.core.attempts
--- /dev/null
+++ b/tests/test_exchanges.py
@@ -0,0 +1,83 @@
+"""Recorded byte exchanges, played against the program and compared.
+
+A file holds one exchange, a step a line; the text after a mark stands for itself and CRLF:
+``> `` the client sends, ``< `` the client gets, ``N> `` a storage node gets, ``N< `` it sends,
+``<|`` and ``N>|`` a close is seen, ``|>`` and ``N<|`` a side closes.  ``*`` in what is got stands for
+anything.  ``#`` is a comment.  Files named http-* speak to the object front, whose shared store knows
+one object.
+"""
+
+import fnmatch
+import socket
+from pathlib import Path
+
+import pytest
+
+from tests.standins import Discovery, Program, Redis, config, entry
+
+FILES = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
+
+
+class Side:
+    """One end of a connection."""
+
+    def __init__(self, sock):
+        sock.settimeout(10)
+        self.sock, self.lines = sock, sock.makefile("rb")
+
+    def close(self):
+        self.lines.close()
+        self.sock.close()
+
+
+def escaped(pattern):
+    return pattern.replace("[", "[[]").replace("?", "[?]")
+
+
+def play(text, program, front, listener):
+    client, node = Side(program.connect(front)), None
+    for number, step in enumerate(text.splitlines(), 1):
+        mark, _, rest = step.partition(" ")
+        if not step or mark == "#":
+            continue
+        if mark == ">":
+            client.sock.sendall(rest.encode() + b"\r\n")
+        elif mark == "|>":
+            client.close()
+        elif mark in ("<", "N>"):
+            if mark == "N>" and node is None:
+                node = Side(listener.accept()[0])
+            got = (client if mark == "<" else node).lines.readline().decode().removesuffix("\r\n")
+            assert fnmatch.fnmatchcase(got, escaped(rest)), f"line {number}: {got!r}, wanted {rest!r}"
+        elif mark in ("<|", "N>|"):
+            assert (client if mark == "<|" else node).lines.readline() == b"", f"line {number}: no close"
+            if mark == "N>|":
+                node.close()
+                node = None
+        elif mark == "N<":
+            node.sock.sendall(rest.encode() + b"\r\n")
+        elif mark == "N<|":
+            node.close()
+            node = None
+        else:
+            raise AssertionError(f"line {number}: unknown step {step!r}")
+    client.close()
+
+
+@pytest.mark.parametrize("path", FILES, ids=lambda path: path.stem)
+def test_an_exchange_goes_as_recorded(path, tmp_path):
+    discovery, store = Discovery(), Redis()
+    store.data[b"runloft:object:tracks:k"] = b"0 10"
+    front = "ObjectFront" if path.stem.startswith("http-") else "RespFront"
+    with socket.create_server(("127.0.0.1", 0)) as listener:
+        listener.settimeout(10)
+        address = f"127.0.0.1:{listener.getsockname()[1]}"
+        raw = config(discovery.address, [entry(address, objects=address)], store.address)
+        program = Program(raw, tmp_path / "config.json")
+        try:
+            play(path.read_text(), program, front, listener)
+            assert program.process.poll() is None, "the program ended"
+        finally:
+            program.close()
+            discovery.close()
+            store.close()
