--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -341,6 +341,10 @@
         if node is None or not node.usable():
             return self.aim / SECOND
         ahead = (node.ready(ticket.units, self._rate(node, now), now) - now) / SECOND
+        if not ticket.reached:
+            # Guards crowded nodes: where it waited in vain, a new try has what is held ahead of it too, and
+            # likely as long a wait again.
+            ahead = max(ahead, self._forecast(ticket, now), (now - ticket.taken_at) / SECOND)
         return max(ahead, WAKE_PART * self.aim / SECOND, self._barred(ticket, node, now))
 
     def _may_send(self, ticket: Ticket, node: Node, rate: float, now: int) -> bool:
--- a/runloft/decisions/state.py
+++ b/runloft/decisions/state.py
@@ -13,6 +13,7 @@
         self.id, self.units, self.shard = request.id, request.units, request.shard
         self.aim_at = now + min(klass.aim_ns, request.time_left_ns)
         self.deadline = now + request.time_left_ns
+        self.taken_at = now
         self.hold_until = self.deadline  # when it is given up if nothing of it has left
         self.attempts = 0
         self.reached = False  # whether a node took notice of an attempt
