Heed deadlines added between turns; a slow reader no longer makes its node look slow

Seen on review: the runner slept to the deadline it knew, so a connect time-out of 250 ms that a task added between turns waited for the next event; under load none was late (no slow turn logged), in a lull it was. A download by a slow client counted as its node's latency and busy time. More than 16 look-ups at once would have found the shared store down.

--- a/runloft/core/deadlines.py
+++ b/runloft/core/deadlines.py
@@ -1,5 +1,6 @@
 """The one sorted structure of all that is due at some time, swept once a turn."""
 
+from collections.abc import Callable
 from itertools import count
 
 from sortedcontainers import SortedList
@@ -13,6 +14,7 @@
     def __init__(self) -> None:
         self._marks: SortedList[Mark] = SortedList(key=lambda mark: mark[:2])
         self._serial = count()
+        self.on_first: Callable[[], None] = lambda: None  # called when something is due sooner than all else
 
     def __len__(self) -> int:
         return len(self._marks)
@@ -21,6 +23,8 @@
         """Add an item; the mark that comes back takes it out again."""
         mark = (at_ns, next(self._serial), item)
         self._marks.add(mark)
+        if self._marks[0] is mark:
+            self.on_first()
         return mark
 
     def discard(self, mark: Mark | None) -> None:
--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -121,6 +121,13 @@
     value: object = None
 
 
+@dataclass(frozen=True, slots=True)
+class Held:
+    """A streamed answer waits for its client: the node's work on it no longer shows in the time."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Ended:
     """An attempt is over and its connection carries nothing of it any more."""
@@ -140,7 +147,7 @@
     nodes: tuple[NodeNews, ...] = ()
 
 
-Event = Taken | Left | Began | Ended | Listed
+Event = Taken | Left | Began | Held | Ended | Listed
 
 
 # Effects.
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -5,7 +5,7 @@
 """
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from itertools import count
 
 from runloft.core.deadlines import Deadlines, Mark
@@ -21,6 +21,7 @@
     Ended,
     Event,
     Failed,
+    Held,
     Left,
     Listed,
     NodeNews,
@@ -61,6 +62,7 @@
     node: int
     sent_at: int
     due: Mark | None = None
+    told: bool = False  # its outcome is out already
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,6 +103,8 @@
                     self._leave(asker, told, effects)
                 case Began(attempt, value):
                     self._began(attempt, value, told, effects)
+                case Held(attempt):
+                    self._held(attempt, now, told)
                 case Ended():
                     self._ended(event, now, told, effects)
                 case Listed(kind, nodes):
@@ -155,7 +159,8 @@
         if request.streaming:  # the module can't call off a started stream; its connection must go
             for attempt in list(request.out.values()):
                 effects.append(Abandon(attempt))
-                self._next_turn.append(self._outcome(self.attempts[attempt], Ending.CANCELLED, 0))
+                if not self.attempts[attempt].told:
+                    self._next_turn.append(self._outcome(self.attempts[attempt], Ending.CANCELLED, 0))
                 self._forget(self.attempts[attempt])
         told.append(contract.ClientGone(request.id))
         self._tidy(request)
@@ -170,6 +175,19 @@
         told.append(contract.StreamStarted(request.id, self._index(attempt), attempt.node))
         effects.append(Begin(request.asker, value, news.uid, news.shard))
 
+    def _held(self, number: int, now: int, told: list[contract.Event]) -> None:
+        """Tell the module that the node has served.
+
+        Guards a node's rate and latency against clients that read slowly: one long download would
+        look like a node that takes as long, and turn everyone else's requests away.
+        """
+        attempt = self.attempts.get(number)
+        if attempt is None or attempt.told or attempt.request.over:
+            return
+        attempt.told = True
+        outcome = self._outcome(attempt, Ending.OK, now - attempt.sent_at)
+        told.append(replace(outcome, complete=True))
+
     def _ended(self, event: Ended, now: int, told: list[contract.Event], effects: list[Effect]) -> None:
         attempt = self.attempts.get(event.attempt)
         if attempt is None:
@@ -182,11 +200,12 @@
         elif not request.over and request.streaming:  # the client has part of it: this is the end
             self._over(request)
             effects.append(Answer(request.asker, Failed(event.ending)))
-        told.append(
-            self._outcome(
-                attempt, event.ending, now - attempt.sent_at, event.used_percent, event.elsewhere_units
+        if not attempt.told:
+            told.append(
+                self._outcome(
+                    attempt, event.ending, now - attempt.sent_at, event.used_percent, event.elsewhere_units
+                )
             )
-        )
         self._forget(attempt)
         self._tidy(request)
 
--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -35,6 +35,7 @@
 GUESS_PART = 0.5  # part of the warm-up for which a refused connection counts as a start
 HOLD_PART = 0.45  # of its client's time: a request that has not left by then is given up
 GOLDEN = 0.6180339887  # spreads first turns at a cold node evenly over host numbers
+MOST_VOLUMES = 4096  # volumes remembered; beyond it the one that was quiet longest is forgotten
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
 UNSETTLED = (Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
@@ -295,6 +296,8 @@
         if store is None:
             plan = plans[request.plan] if request.plan < len(plans) else PlanSettings()
             store = VolumeStore(plan, request.volume_hosts, self.born, self.settings.max_units)
+            if len(self.volumes) >= MOST_VOLUMES:  # guards memory
+                del self.volumes[min(self.volumes, key=lambda v: self.volumes[v].at)]
             self.volumes[request.volume] = store
         store.refill(now)
         return store
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -4,6 +4,7 @@
 is passed on as it comes, under back-pressure from the client.
 """
 
+import contextlib
 import math
 import socket
 import uuid
@@ -18,10 +19,12 @@
 import h11
 import structlog
 
+from runloft.core.deadlines import Deadlines
 from runloft.core.model import Ask, Event, Failed, Left, Refused, Reply, Served, Taken
 from runloft.decisions.contract import Ending
 from runloft.net.http_link import HttpPayload, Stream
 from runloft.net.sockets import close, nothing_to_read
+from runloft.net.timing import Clock, pause, within
 from runloft.settings import Config, ObjectSettings
 from runloft.shared_store import Place, SharedStore, StoreDownError
 
@@ -30,7 +33,7 @@
 PIPELINED_BYTES = 64 << 10  # read ahead while a request is out; more waits in the socket
 BODIES_BYTES = 20 << 20  # request bodies held at once by this front; more wait in their sockets
 IDLE_S, BODY_S = 60.0, 30.0  # a connection may rest so long between requests; a body may take so long
-LINGER_S = 1.0
+LINGER_S, FULL_S = 1.0, 0.02
 MOST_PART = 10_000
 PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
 HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"date")
@@ -200,7 +203,7 @@
             self.front.clients.discard(self)
 
     async def _event(self, stall_s: float) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
-        with anyio.fail_after(stall_s):
+        with self.front.within(stall_s):
             while (event := self.protocol.next_event()) is h11.NEED_DATA:
                 if self.protocol.they_are_waiting_for_100_continue:
                     await self._write(h11.InformationalResponse(status_code=100, headers=[]))
@@ -233,12 +236,13 @@
                 await self._rest(problem)
                 raise
             # The core holds its own account of bodies; this one keeps them from being read at all.
-            with anyio.move_on_after(BODY_S) as waiting:
-                await self.front.bodies.take(length)
-            if waiting.cancelled_caught:
-                raise Problem(503, "SlowDown", "too many bodies are held", 1_000_000_000, True)
+            try:
+                with self.front.within(BODY_S):
+                    await self.front.bodies.take(length)
+            except TimeoutError:
+                raise Problem(503, "SlowDown", "too many bodies are held", 1_000_000_000, True) from None
             held = length
-            with anyio.fail_after(BODY_S):
+            with self.front.within(BODY_S):
                 body = await self._body(length)
             await self._serve(asked, headers, body)
         except Problem as problem:
@@ -394,7 +398,7 @@
     async def _linger(self) -> None:
         """Read and drop what is still coming, for a moment: a close would reset the answer away."""
         self.sock.shutdown(socket.SHUT_WR)
-        with anyio.move_on_after(LINGER_S):
+        with contextlib.suppress(TimeoutError), self.front.within(LINGER_S):
             while True:
                 try:
                     if not self.sock.recv(65536):
@@ -404,7 +408,7 @@
 
     async def _write(self, event: h11.Event) -> None:
         parts = [memoryview(p) for p in self.protocol.send_with_data_passthrough(event) or [] if p]
-        with anyio.fail_after(BODY_S):
+        with self.front.within(BODY_S):
             while parts:
                 try:
                     count = self.sock.sendmsg(parts)
@@ -432,6 +436,8 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
+        deadlines: Deadlines,
+        clock: Clock,
         config: Config,
         settings: ObjectSettings,
         store: SharedStore,
@@ -439,10 +445,15 @@
     ) -> None:
         self.group, self.post, self.config, self.settings = group, post, config, settings
         self.store, self.most_clients = store, most_clients
+        self.deadlines, self.clock = deadlines, clock
         self.bodies = Bodies(max(BODIES_BYTES, settings.max_body))
         self.clients: set[ObjectClient] = set()
         self.stopping = False
 
+    def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
+        """Limit what is inside to so many seconds."""
+        return within(self.deadlines, self.clock, seconds)
+
     def volume(self, asked: Operation) -> None:
         """Check that the volume is one of the file's."""
         if asked.volume not in self.settings.volumes:
@@ -530,7 +541,7 @@
         while True:
             try:
                 if not self.accept_waiting(listener):
-                    await anyio.sleep(0.02)
+                    await pause(self.deadlines, self.clock, FULL_S)
                 await anyio.wait_readable(listener)
             except (OSError, anyio.ClosedResourceError):
                 return
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -9,13 +9,17 @@
 import anyio.abc
 import structlog
 
+from runloft.core.deadlines import Deadlines
 from runloft.core.model import Ask, Event, Left, Refused, Reply, Served, Taken
 from runloft.net import resp2
 from runloft.net.links import RespPayload
 from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
+from runloft.net.timing import pause
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
+MOST_SHARD = 65_535  # as on the simulator's wire
+FULL_S = 0.02  # pause in accepting
 TRAVEL_NS = 25_000_000  # of a client's time, for ways whose length nobody tells
 UNWRITTEN = 512 << 10  # bytes of answers that a client has not read; then its commands wait
 COMMAND_LIMIT = 72 << 10
@@ -47,7 +51,8 @@
             volume, key = int(pairs[b"volume"], 16), int(words[1], 16)
         except (KeyError, ValueError) as error:
             raise BadCommandError(f"bad attributes: {error!r}"[:120].replace("\r", " ")) from None
-        if not all(map(math.isfinite, (wait_ms, units, hosts))) or wait_ms <= 0 or units <= 0:
+        fits = all(map(math.isfinite, (wait_ms, units, hosts))) and wait_ms > 0 and units > 0
+        if not fits or not -1 <= shard <= MOST_SHARD:
             raise BadCommandError("bad attributes: a figure out of range")
         at = 0 if attributes.startswith(b"d=") else attributes.index(b",d=") + 1
         after = attributes.find(b",", at)
@@ -243,11 +248,13 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
+        deadlines: Deadlines,
         clock: Callable[[], int],
         translator: Translator,
         most_clients: int,
     ) -> None:
         self.group, self.post, self.clock, self.translator = group, post, clock, translator
+        self.deadlines = deadlines
         self.most_clients = most_clients
         self.clients: set[Client] = set()
         self.stopping = False
@@ -257,7 +264,8 @@
         while True:
             try:
                 if not self.accept_waiting(listener):
-                    await anyio.sleep(0.02)  # full or out of descriptors: the rest waits in the kernel
+                    # Full or out of descriptors: the rest waits in the kernel.
+                    await pause(self.deadlines, self.clock, FULL_S)
                 await anyio.wait_readable(listener)
             except (OSError, anyio.ClosedResourceError):
                 return
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -16,6 +16,7 @@
 from runloft.core.model import Event, Listed, NodeNews
 from runloft.decisions.contract import ListKind, NodeState
 from runloft.net.sockets import close, connect, connecting
+from runloft.net.timing import pause
 
 log = structlog.get_logger()
 STATES = {
@@ -73,7 +74,7 @@
 
     async def run(self) -> None:
         """Watch for as long as the program runs."""
-        pause = BACKOFF_S
+        wait = BACKOFF_S
         while True:
             before = self.rev, self.clock()
             try:
@@ -81,8 +82,8 @@
             except WATCH_ERRORS as error:
                 log.info("watch ended", error=repr(error), rev=self.rev)
             lasted = self.clock() - before[1] > SILENCE_NS
-            pause = BACKOFF_S if lasted or self.rev != before[0] else min(pause * 2, BACKOFF_MOST_S)
-            await anyio.sleep(pause)
+            wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, BACKOFF_MOST_S)
+            await pause(self.deadlines, self.clock, wait)
 
     async def _watch(self) -> None:
         sock = connecting()
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -7,7 +7,7 @@
 import h11
 
 from runloft.core.deadlines import Mark
-from runloft.core.model import Began, Dispatch, Ended
+from runloft.core.model import Began, Dispatch, Ended, Held
 from runloft.decisions.contract import Ending
 from runloft.net.links import Connection
 
@@ -128,6 +128,8 @@
         except h11.ProtocolError as error:
             raise ValueError(str(error)) from error
         if self.stream:
+            if self.stream.size > READ_AHEAD and self.order:
+                self.link.post(Held(self.order.attempt))
             await self.stream.room()
 
     def eof(self) -> None:
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -18,9 +18,11 @@
 from runloft.net.discovery import Watch, listed
 from runloft.net.links import NodeLink, RespConnection
 from runloft.net.sockets import close, listening
+from runloft.net.timing import pause
 from runloft.settings import Config, ObjectSettings
 
 log = structlog.get_logger()
+POLL_S = 0.02  # while winding down
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
 LATE_NS = 15_000_000
 CLIENT_PART = 0.5  # of all descriptors, for clients
@@ -78,6 +80,8 @@
         self.links: dict[str, Link] = {}
         self.events: list[Event] = []
         self._wake = anyio.Event()
+        # Guards what is added between turns: without it a time-out of 250 ms waits for the next event.
+        deadlines.on_first = lambda: self._wake.set()
 
     def post(self, event: Event) -> None:
         """Take an event for the next turn."""
@@ -145,7 +149,7 @@
         )
         translator = Translator(config.class_names, config.plan_names)
         most = int(config.max_sockets * (CLIENT_PART / 2 if config.objects else CLIENT_PART))
-        fronts: list[Front] = [RespFront(group, runner.post, clock, translator, most)]
+        fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, translator, most)]
         listeners = [listening(config.listen)]
         store = None
         if config.objects:
@@ -155,7 +159,9 @@
             from runloft.shared_store import SharedStore
 
             store = SharedStore(config.objects.store)
-            fronts.append(ObjectFront(group, runner.post, config, config.objects, store, most))
+            fronts.append(
+                ObjectFront(group, runner.post, deadlines, clock, config, config.objects, store, most)
+            )
             listeners.append(listening(config.objects.listen))
             runner.links["http"] = NodeLink(
                 group,
@@ -178,7 +184,7 @@
             host, port = listener.getsockname()
             log.info("serving", name=config.name, front=type(front).__name__, at=f"{host}:{port}")
         await _stopped()
-        await wind_down(fronts, listeners, core)
+        await wind_down(fronts, listeners, core, clock)
         for link in runner.links.values():
             link.close()
         if store:
@@ -199,10 +205,12 @@
             return
 
 
-async def wind_down(fronts: Sequence[Front], listeners: Sequence[socket.socket], core: Core) -> None:
+async def wind_down(
+    fronts: Sequence[Front], listeners: Sequence[socket.socket], core: Core, clock: Callable[[], int]
+) -> None:
     """Go on for a while, then stop listening and answer all that was taken."""
     log.info("stopping", open=len(core.requests))
-    await anyio.sleep(GRACE_S)
+    await pause(core.deadlines, clock, GRACE_S)
     for front, listener in zip(fronts, listeners, strict=True):
         front.accept_waiting(listener)  # what the kernel has accepted may carry a request
         close(listener)
@@ -211,4 +219,4 @@
             front.stop()
         if not core.requests and not any(front.clients for front in fronts):
             return
-        await anyio.sleep(0.02)
+        await pause(core.deadlines, clock, POLL_S)
--- a/runloft/settings.py
+++ b/runloft/settings.py
@@ -148,8 +148,18 @@
     if not settings.plans:
         faults.append("settings.ServiceLevels: at least one plan is wanted")
     for index, klass in enumerate(settings.classes):
+        path = f"settings.Classes.{index}"
         if klass.deadline_ns <= 0:
-            faults.append(f"settings.Classes.{index}.HardLimit: a positive time is wanted")
+            faults.append(f"{path}.HardLimit: a positive time is wanted")
+        if klass.aim_ns <= 0:
+            faults.append(f"{path}.Target: a positive time is wanted")
+        if pairs.get(f"Classes.{index}.Effect") not in (*EFFECTS, "fragile", None):
+            faults.append(f"{path}.Effect: one of {', '.join(EFFECTS)}, fragile is wanted")
+    for table, rows in (("Classes", settings.classes), ("ServiceLevels", settings.plans)):
+        names = [pairs.get(f"{table}.{index}.Name") for index in range(len(rows))]
+        for index, name in enumerate(names):
+            if not name or name in names[:index]:
+                faults.append(f"settings.{table}.{index}.Name: a name of its own is wanted")
     known = raw.get("known") or {}
     if not isinstance(known, dict):
         faults.append("known: an object is wanted")
--- a/runloft/shared_store.py
+++ b/runloft/shared_store.py
@@ -7,6 +7,7 @@
 from redis.backoff import NoBackoff
 from redis.exceptions import RedisError
 
+MOST_CONNECTIONS = 16
 UPLOAD_TTL_S = 7 * 24 * 3600  # an upload that nobody completes or aborts is forgotten by then
 
 
@@ -26,15 +27,18 @@
     """Object and upload id to shard."""
 
     def __init__(self, url: str, timeout_s: float = 1.0) -> None:
-        self._redis = redis.asyncio.Redis.from_url(
+        # Blocking: a burst waits for a connection, instead of finding the store down.
+        pool = redis.asyncio.BlockingConnectionPool.from_url(
             url,
             protocol=2,
             socket_timeout=timeout_s,
             socket_connect_timeout=timeout_s,
-            max_connections=16,
+            max_connections=MOST_CONNECTIONS,
+            timeout=timeout_s,
             # No retries of its own: the client is told 503 and asks again.
             retry=Retry(NoBackoff(), 0),
         )
+        self._redis = redis.asyncio.Redis.from_pool(pool)
 
     @staticmethod
     def object_key(volume: str, key: str) -> str:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -2,6 +2,7 @@
 
 from dataclasses import dataclass
 
+import anyio
 import pytest
 
 from runloft.core.deadlines import Deadlines
@@ -14,6 +15,7 @@
     Dispatch,
     Ended,
     Failed,
+    Held,
     Left,
     Listed,
     NodeNews,
@@ -23,6 +25,7 @@
 )
 from runloft.core.reducer import Core
 from runloft.decisions.contract import Cancel, Ending, Fail, ListKind, NodeState, Outcome, Refuse, Send, Timer
+from runloft.net.runner import Clock, Runner
 from tests.driver import MS, SECOND, klass, settings
 
 NODE = NodeNews("s-1", "127.0.0.1:1", 0)
@@ -127,6 +130,32 @@
     assert turns.step(Ended(1, Ending.RESET)) == [Answer(asker, Failed(Ending.RESET))]
 
 
+def test_a_client_that_reads_slowly_does_not_make_its_node_look_slow():
+    turns = Turns()
+    asker, _ = turns.take([Send(1, 1)])
+    turns.step(Began(1, "head"), Held(1), after=10)
+    turns.step(Held(1), after=3000)
+    assert turns.step(Ended(1, Ending.OK), after=1) == [Answer(asker, Served(None, "s-1", 0))]
+    (outcome,) = [e for e in turns.script.told if isinstance(e, Outcome)]
+    assert outcome.ending is Ending.OK and outcome.complete and outcome.latency_ns == 10 * MS
+
+
+def test_what_is_added_between_turns_is_heeded_in_its_time():
+    async def run():
+        deadlines, fired = Deadlines(), anyio.Event()
+        clock = Clock()
+        runner = Runner(Core(settings(), 1, clock(), deadlines), deadlines, clock)
+        async with anyio.create_task_group() as group:
+            group.start_soon(runner.run)
+            await anyio.sleep(0.02)  # now it waits, with nothing due
+            deadlines.add(clock() + 5 * MS, fired.set)
+            with anyio.fail_after(5):
+                await fired.wait()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
 def test_a_client_that_leaves_mid_stream_frees_the_attempt():
     turns = Turns()
     asker, _ = turns.take([Send(1, 1)])
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -18,6 +18,7 @@
     Send,
     TimerFired,
 )
+from runloft.decisions.policy import MOST_VOLUMES
 from tests.driver import MS, NODE, SECOND, Host, gone, klass, settings
 
 ROOT = Path(__file__).parent.parent
@@ -375,3 +376,11 @@
     assert 0 < send.timeout_ns <= 2 * 100 * MS
     host.end(id_, Ending.TIMEOUT, latency=100)
     assert [a.retry_after_ns > 0 for _, a in host.answers(id_)] == [True]
+
+
+def test_volumes_that_were_quiet_longest_are_forgotten():
+    host = Host(settings(klass()))
+    for volume in range(MOST_VOLUMES + 5):
+        host.ask(volume=volume)
+        host.wait(1)
+    assert len(host.scheduler.volumes) == MOST_VOLUMES and 0 not in host.scheduler.volumes
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -316,3 +316,17 @@
     assert len(answers) == 24 * 12  # one final answer each
     assert len(resp.log) >= served["resp"] and len(objects.log) >= served["http"]
     assert served["resp"] and 0.7 < served["http"] / served["resp"] < 1.4, served
+
+
+def test_at_sigterm_an_object_that_was_asked_for_is_served(world):
+    world.ask("PUT", body=b"data")
+    world.holder().held.clear()
+    conn = world.http()
+    conn.request("GET", ITEM)
+    until(lambda: len(world.holder().connections) >= 1)
+    world.program.process.terminate()
+    time.sleep(0.7)  # past the time in which new connections are taken
+    world.holder().held.set()
+    answer = conn.getresponse()
+    assert (answer.status, answer.read()) == (200, b"data")
+    assert world.program.process.wait(10) == 0
--- /dev/null
+++ b/tests/test_shared_store.py
@@ -0,0 +1,65 @@
+"""The shared store against its stand-in."""
+
+import anyio
+import pytest
+
+from runloft.shared_store import Place, SharedStore, StoreDownError
+from tests.standins import Redis
+
+
+def run(check):
+    server = Redis()
+
+    async def main():
+        store = SharedStore(f"redis://{server.address}/0", 2.0)
+        try:
+            with anyio.fail_after(20):
+                await check(store, server)
+        finally:
+            await store.close()
+
+    try:
+        anyio.run(main)
+    finally:
+        server.close()
+
+
+def test_a_place_is_kept_and_forgotten():
+    async def check(store, server):
+        name = store.object_key("v", "a b")
+        assert await store.get(name) is None
+        await store.put(name, Place(3, 10))
+        assert await store.get(name) == Place(3, 10)
+        await store.forget(name)
+        assert await store.get(name) is None
+
+    run(check)
+
+
+def test_a_burst_waits_for_a_connection():
+    async def check(store, server):
+        await store.put("k", Place(1))
+        got = []
+
+        async def get():
+            got.append(await store.get("k"))
+
+        async with anyio.create_task_group() as group:
+            for _ in range(100):
+                group.start_soon(get)
+        assert got == [Place(1)] * 100 and len(server.connections) <= 16
+
+    run(check)
+
+
+@pytest.mark.parametrize("what", ["closed", "nonsense"])
+def test_what_can_not_be_read_counts_as_down(what):
+    async def check(store, server):
+        if what == "closed":
+            server.close()
+        else:
+            server.data[b"k"] = b"no place"
+        with pytest.raises(StoreDownError):
+            await store.get("k")
+
+    run(check)
