--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -36,6 +36,7 @@
 HOLD_PART = 0.45  # of its client's time: a request that has not left by then is given up
 GOLDEN = 0.6180339887  # spreads first turns at a cold node evenly over host numbers
 MOST_VOLUMES = 4096  # volumes remembered; beyond it the one that was quiet longest is forgotten
+RETRY_SLACK = 0.25  # tightest aims by which tries' waits differ anyway
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
 UNSETTLED = (Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
@@ -197,6 +198,7 @@
         self.settings, self.random, self.born, self.wake_at = settings, random.Random(seed), now, 0
         self.aim = min((c.aim_ns for c in settings.classes), default=SECOND)
         self.mean_price, self.many = Price(self.aim), settings.hosts > FEW_HOSTS
+        self.most_left: dict[int, int] = {}  # by class: the longest wait that a try brought
         self.top_worth = max((c.worth for c in settings.classes), default=1.0)
         self.top_worth *= max((p.price for p in settings.plans), default=1.0)
         self.nodes: dict[int, Node] = {}
@@ -244,6 +246,11 @@
         self.taken.add(now, 1)
         ticket = self.tickets[request.id] = Ticket(request, self.settings.classes[request.klass], now)
         ticket.hold_until = now + int(HOLD_PART * request.time_left_ns)
+        # A client waits as long for each try, within its class's deadline: one that brings less has spent the
+        # rest on earlier tries, and its aim runs from the first.
+        most = self.most_left[request.klass] = max(self.most_left.get(request.klass, 0), request.time_left_ns)
+        if request.time_left_ns < most - RETRY_SLACK * self.aim:
+            ticket.aim_at -= ticket.klass.deadline_ns - request.time_left_ns
         if self.many:
             ticket.luck = self.random.uniform(1 - PRICE_JITTER, 1 + PRICE_JITTER)
         if ticket.klass.in_order and request.key:
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -384,3 +384,16 @@
         host.ask(volume=volume)
         host.wait(1)
     assert len(host.scheduler.volumes) == MOST_VOLUMES and 0 not in host.scheduler.volumes
+
+
+def test_a_later_try_counts_its_aim_from_the_first():
+    host = Host(settings(klass(aim=100, deadline=2000, late_worth=0.1)))
+    host.serve(20, latency=20)
+    out = [host.ask() for _ in range(4)]
+    later, first = host.ask(left=1500), host.ask()
+    assert not host.sends(later) and not host.sends(first)
+    while not host.sends(first):
+        host.end(min(host.open))
+    assert not host.sends(later) and out
+    while not host.sends(later):
+        host.end(min(host.open))
