--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -22,9 +22,10 @@
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Ask, Event, Failed, Left, Refused, Reply, Served, Taken
 from runloft.decisions.contract import Ending
+from runloft.fronts.accepting import AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
 from runloft.net.sockets import close, nothing_to_read
-from runloft.net.timing import Clock, pause, within
+from runloft.net.timing import Clock, within
 from runloft.settings import Config, ObjectSettings
 from runloft.shared_store import Place, SharedStore, StoreDownError
 
@@ -33,7 +34,7 @@
 PIPELINED_BYTES = 64 << 10  # read ahead while a request is out; more waits in the socket
 BODIES_BYTES = 20 << 20  # request bodies held at once by this front; more wait in their sockets
 IDLE_S, BODY_S = 60.0, 30.0  # a connection may rest so long between requests; a body may take so long
-LINGER_S, FULL_S = 1.0, 0.02
+LINGER_S = 1.0
 MOST_PART = 10_000
 PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
 HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"date")
@@ -429,7 +430,7 @@
     )
 
 
-class ObjectFront:
+class ObjectFront(AcceptingFront[ObjectClient]):
     """The listening side of the object API."""
 
     def __init__(
@@ -443,12 +444,13 @@
         store: SharedStore,
         most_clients: int,
     ) -> None:
-        self.group, self.post, self.config, self.settings = group, post, config, settings
-        self.store, self.most_clients = store, most_clients
-        self.deadlines, self.clock = deadlines, clock
+        super().__init__(group, post, deadlines, clock, most_clients)
+        self.config, self.settings, self.store = config, settings, store
         self.bodies = Bodies(max(BODIES_BYTES, settings.max_body))
-        self.clients: set[ObjectClient] = set()
-        self.stopping = False
+
+    def new_client(self, sock: socket.socket) -> ObjectClient:
+        """Make a client of an accepted socket."""
+        return ObjectClient(self, sock)
 
     def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
         """Limit what is inside to so many seconds."""
@@ -536,30 +538,6 @@
             if length.isdigit() and place and place.size < 0:
                 await store.put(item, Place(place.shard, int(length)))
 
-    async def accept(self, listener: socket.socket) -> None:
-        """Accept until the listener closes."""
-        while True:
-            try:
-                if not self.accept_waiting(listener):
-                    await pause(self.deadlines, self.clock, FULL_S)
-                await anyio.wait_readable(listener)
-            except (OSError, anyio.ClosedResourceError):
-                return
-
-    def accept_waiting(self, listener: socket.socket) -> bool:
-        """Accept what is there; whether there was room for all of it."""
-        while len(self.clients) < self.most_clients:
-            try:
-                sock, _ = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return True
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = ObjectClient(self, sock)
-            self.clients.add(client)
-            self.group.start_soon(client.run)
-        return False
-
     def stop(self) -> None:
         """Close clients between requests; busy ones end after their answer."""
         self.stopping = True
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -11,15 +11,15 @@
 
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Ask, Event, Left, Refused, Reply, Served, Taken
+from runloft.fronts.accepting import AcceptingFront
 from runloft.net import resp2
 from runloft.net.links import RespPayload
 from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
-from runloft.net.timing import pause
+from runloft.net.timing import Clock
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
 MOST_SHARD = 65_535  # as on the simulator's wire
-FULL_S = 0.02  # pause in accepting
 TRAVEL_NS = 25_000_000  # of a client's time, for ways whose length nobody tells
 UNWRITTEN = 512 << 10  # bytes of answers that a client has not read; then its commands wait
 COMMAND_LIMIT = 72 << 10
@@ -241,7 +241,7 @@
         self.slots.clear()
 
 
-class RespFront:
+class RespFront(AcceptingFront[Client]):
     """The listening side of the platform's protocol."""
 
     def __init__(
@@ -249,48 +249,18 @@
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
         deadlines: Deadlines,
-        clock: Callable[[], int],
+        clock: Clock,
         translator: Translator,
         most_clients: int,
     ) -> None:
-        self.group, self.post, self.clock, self.translator = group, post, clock, translator
-        self.deadlines = deadlines
-        self.most_clients = most_clients
-        self.clients: set[Client] = set()
-        self.stopping = False
-
-    async def accept(self, listener: socket.socket) -> None:
-        """Accept until the listener closes."""
-        while True:
-            try:
-                if not self.accept_waiting(listener):
-                    # Full or out of descriptors: the rest waits in the kernel.
-                    await pause(self.deadlines, self.clock, FULL_S)
-                await anyio.wait_readable(listener)
-            except (OSError, anyio.ClosedResourceError):
-                return
+        super().__init__(group, post, deadlines, clock, most_clients)
+        self.translator = translator
 
-    def accept_waiting(self, listener: socket.socket) -> bool:
-        """Accept what is there; whether there was room for all of it."""
-        while True:
-            if len(self.clients) >= self.most_clients and not self._make_room():
-                return False
-            try:
-                sock, _ = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
-                return True
-            except OSError as error:
-                if listener.fileno() < 0:
-                    raise
-                log.warning("accept", error=str(error))
-                return False
-            sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-            client = Client(self, sock)
-            self.clients.add(client)
-            self.group.start_soon(client.run)
-
-    def _make_room(self) -> bool:
+    def new_client(self, sock: socket.socket) -> Client:
+        """Make a client of an accepted socket."""
+        return Client(self, sock)
+
+    def make_room(self) -> bool:
         """Close the client that has been idle longest."""
         idle = [client for client in self.clients if client.is_idle()]
         for client in sorted(idle, key=lambda c: c.used_at):
--- /dev/null
+++ b/tests/test_accepting.py
@@ -0,0 +1,40 @@
+"""Accepting, with sockets that exist only here."""
+
+import errno
+
+import pytest
+
+from runloft.core.deadlines import Deadlines
+from runloft.fronts.accepting import AcceptingFront
+
+
+class Listener:
+    def __init__(self, error, number=7):
+        self.error, self.number = error, number
+
+    def fileno(self):
+        return self.number
+
+    def accept(self):
+        raise self.error
+
+
+def front(most=5):
+    return AcceptingFront(None, None, Deadlines(), lambda: 0, most)
+
+
+def test_no_descriptor_left_is_a_pause_and_not_the_end():
+    assert front().accept_waiting(Listener(OSError(errno.EMFILE, "too many"))) is False
+
+
+def test_nothing_there_is_room_for_all():
+    assert front().accept_waiting(Listener(BlockingIOError())) is True
+
+
+def test_a_full_front_accepts_nothing():
+    assert front(0).accept_waiting(Listener(AssertionError("asked"))) is False
+
+
+def test_a_closed_listener_ends_accepting():
+    with pytest.raises(OSError):
+        front().accept_waiting(Listener(OSError(errno.EBADF, "closed"), -1))
