Heed SIGHUP: move the watch at once, take over settings and limits, drop nothing

At fault: runner._stopped heard SIGTERM and SIGINT only, and no part could change its configuration while running. Now net/reload.py reads and checks the file, the watch moves without backoff, the reducer and the module take new settings, fronts and links new limits; bounds on requests and bodies follow limits.memory_mb.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -3,6 +3,7 @@
 import argparse
 import logging
 import os
+import signal
 import sys
 from collections.abc import Sequence
 from importlib.metadata import PackageNotFoundError, version
@@ -52,6 +53,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
+    # Guards the start: a reload that comes before there is anything to reload must not end the program.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     if not options.config:
         print("runloft: no configuration: give --config or set ROUTER_CONFIG", file=sys.stderr)
         return 1
@@ -59,7 +62,7 @@
         config = load_config(options.config)
     except ConfigError as error:
         return _faults(error)
-    anyio.run(serve, config)
+    anyio.run(serve, config, options.config)
     return 0
 
 
--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -6,7 +6,15 @@
 from dataclasses import dataclass
 from typing import Protocol
 
-from runloft.decisions.contract import Ending, ListKind, NodeState
+from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
+
+
+@dataclass(frozen=True, slots=True)
+class Bounds:
+    """What may be held at once; it follows the limits that the scheduler is given."""
+
+    requests: int = 2048
+    held_bytes: int = 48 << 20  # of bodies together
 
 
 class Payload(Protocol):
@@ -147,7 +155,15 @@
     nodes: tuple[NodeNews, ...] = ()
 
 
-Event = Taken | Left | Began | Held | Ended | Listed
+@dataclass(frozen=True, slots=True)
+class Reconfigured:
+    """The operator's file has changed; what is open and what has been learned stay."""
+
+    settings: Settings
+    bounds: Bounds
+
+
+Event = Taken | Left | Began | Held | Ended | Listed | Reconfigured
 
 
 # Effects.
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -16,6 +16,7 @@
     Asker,
     Began,
     Begin,
+    Bounds,
     Dispatch,
     Effect,
     Ended,
@@ -25,6 +26,7 @@
     Left,
     Listed,
     NodeNews,
+    Reconfigured,
     Refused,
     Served,
     Taken,
@@ -33,9 +35,7 @@
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
 from runloft.decisions.policy import Scheduler
 
-MAX_OPEN = 2048  # requests held at once
-MAX_HELD_BYTES = 48 << 20  # of their bodies together: memory is bounded at 192 MB
-WIRE_PART = 0.5  # of both, for what comes by one wire: a flood on one front leaves room for the other
+WIRE_PART = 0.5  # of each bound, for what comes by one wire: a flood on one front leaves room for the other
 
 
 @dataclass(slots=True, eq=False)
@@ -75,8 +75,10 @@
 class Core:
     """One scheduler's state."""
 
-    def __init__(self, settings: Settings, seed: int, now: int, deadlines: Deadlines) -> None:
-        self.settings, self.deadlines = settings, deadlines
+    def __init__(
+        self, settings: Settings, seed: int, now: int, deadlines: Deadlines, bounds: Bounds | None = None
+    ) -> None:
+        self.settings, self.deadlines, self.bounds = settings, deadlines, bounds or Bounds()
         self.scheduler = Scheduler(settings, seed, now)
         self.requests: dict[int, Open] = {}
         self.by_asker: dict[Asker, Open] = {}
@@ -109,6 +111,9 @@
                     self._ended(event, now, told, effects)
                 case Listed(kind, nodes):
                     told.append(self._listed(kind, nodes))
+                case Reconfigured(settings, bounds):
+                    self.settings, self.bounds = settings, bounds
+                    told.append(contract.NewSettings(settings))
         for item in self.deadlines.sweep(now):
             match item:
                 case contract.TimerFired():
@@ -128,7 +133,8 @@
         self, asker: Asker, ask: Ask, now: int, told: list[contract.Event], effects: list[Effect]
     ) -> None:
         size, use = ask.payload.held_bytes, self.use.setdefault(ask.payload.wire, [0, 0])
-        full = use[0] >= WIRE_PART * MAX_OPEN or use[1] + size > WIRE_PART * MAX_HELD_BYTES
+        full = use[0] >= WIRE_PART * self.bounds.requests
+        full = full or use[1] + size > WIRE_PART * self.bounds.held_bytes
         if full:  # guards memory, whatever the clients do
             effects.append(Answer(asker, Refused()))
             return
--- a/runloft/decisions/contract.py
+++ b/runloft/decisions/contract.py
@@ -206,7 +206,14 @@
     token: int
 
 
-Event = Request | Outcome | StreamStarted | ClientGone | NodeList | ProbeResult | TimerFired
+@dataclass(frozen=True, slots=True)
+class NewSettings:
+    """The operator has changed the settings; classes and plans keep their numbers."""
+
+    settings: Settings
+
+
+Event = Request | Outcome | StreamStarted | ClientGone | NodeList | ProbeResult | TimerFired | NewSettings
 
 
 # Actions: what the host is to do now, in this order.
--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -10,8 +10,8 @@
 from dataclasses import replace
 
 from runloft.decisions.contract import (
-    Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Group, ListKind, NodeEntry, NodeList,
-    NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted, Subscribe,
+    Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Group, ListKind, NewSettings, NodeEntry,
+    NodeList, NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted, Subscribe,
     Timer, TimerFired,
 )  # fmt: skip
 from runloft.decisions.state import SlidingSum, Ticket
@@ -164,8 +164,8 @@
 class VolumeStore:
     """One volume: this host's part of its limit and of the worth that is due to it."""
 
-    def __init__(self, plan: PlanSettings, hosts: float, born: int, max_units: float) -> None:
-        self.plan, self.hosts, self.at = plan, max(1.0, hosts), born
+    def __init__(self, number: int, plan: PlanSettings, hosts: float, born: int, max_units: float) -> None:
+        self.number, self.plan, self.hosts, self.at = number, plan, max(1.0, hosts), born
         # Guards the limit: a restarted host knows nothing of what it spent, so it starts with nothing.
         self.limit, self.excess = 0.0, 0.0  # excess: recent use beyond the reserve, for each weight
         self.reserve = self.reserve_most = plan.reserve / self.hosts + max_units
@@ -195,22 +195,37 @@
     """One host's decisions."""
 
     def __init__(self, settings: Settings, seed: int, now: int) -> None:
-        self.settings, self.random, self.born, self.wake_at = settings, random.Random(seed), now, 0
-        self.aim = min((c.aim_ns for c in settings.classes), default=SECOND)
-        self.mean_price, self.many = Price(self.aim), settings.hosts > FEW_HOSTS
-        self.most_left: dict[int, int] = {}  # by class: the longest wait that a try brought
-        self.top_worth = max((c.worth for c in settings.classes), default=1.0)
-        self.top_worth *= max((p.price for p in settings.plans), default=1.0)
+        self.random, self.born, self.wake_at = random.Random(seed), now, 0
         self.nodes: dict[int, Node] = {}
         self.shards: dict[int | None, Node] = {}  # shard -> the node that serves it
         self.tickets: dict[int, Ticket] = {}
         self.held: dict[int | None, list[Ticket]] = {}  # by shard; None: no node to place it on
         self.volumes: dict[int, VolumeStore] = {}
+        self.most_left: dict[int, int] = {}  # by class: the longest wait that a try brought
+        self.mean_price = Price(SECOND)
+        self._settle(settings)
         self.taken, self.extra = SlidingSum(settings.budget_window_ns), SlidingSum(settings.budget_window_ns)
         self.lines: dict[int, list[Ticket]] = {}  # by key: requests in order of arrival
         self.rests: dict[int, tuple[int, Ticket]] = {}  # by key: until when, after whose attempt
         self.actions: list[Action] = [Subscribe()] if settings.list_is_asked_for else []
 
+    def _settle(self, settings: Settings) -> None:
+        """Go by these settings from now on; what is open and what was learned stay."""
+        self.settings, self.many = settings, settings.hosts > FEW_HOSTS
+        self.aim = min((c.aim_ns for c in settings.classes), default=SECOND)
+        self.top_worth = max((c.worth for c in settings.classes), default=1.0)
+        self.top_worth *= max((p.price for p in settings.plans), default=1.0)
+        self.most_left.clear()  # a longer deadline than before would make every try look like a later one
+        for node in self.nodes.values():
+            node.aim = node.rate.window = self.aim
+            node.served.window, node.recent.window = settings.cold_ns, settings.fall_ns
+        for price in (self.mean_price, *(node.price for node in self.nodes.values())):
+            price.fade, price.timely = PRICE_FADE * self.aim, LATE_PART * self.aim
+        for store in self.volumes.values():
+            if store.number < len(settings.plans):
+                store.plan = settings.plans[store.number]
+                store.reserve_most = store.plan.reserve / store.hosts + settings.max_units
+
     def handle(self, now: int, events: Sequence[Event]) -> list[Action]:
         """Take in all that happened at this instant, then decide what leaves."""
         # A host that stood still finds timers and answers at once: what was answered does not give up.
@@ -226,6 +241,8 @@
                     self._list(event, now)
                 case ClientGone():
                     self._client_gone(event.id, now)
+                case NewSettings(settings):
+                    self._settle(settings)
                 case StreamStarted(id_) if id_ in self.tickets:
                     self.tickets[id_].streaming = True
         for shard, held in [(shard, held) for shard, held in self.held.items() if held]:
@@ -302,7 +319,7 @@
         store = self.volumes.get(request.volume)
         if store is None:
             plan = plans[request.plan] if request.plan < len(plans) else PlanSettings()
-            store = VolumeStore(plan, request.volume_hosts, self.born, self.settings.max_units)
+            store = VolumeStore(request.plan, plan, request.volume_hosts, self.born, self.settings.max_units)
             if len(self.volumes) >= MOST_VOLUMES:  # guards memory
                 del self.volumes[min(self.volumes, key=lambda v: self.volumes[v].at)]
             self.volumes[request.volume] = store
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -11,9 +11,11 @@
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Event
 from runloft.net.timing import Clock, pause
+from runloft.settings import Config
 
 log = structlog.get_logger()
 FULL_S = 0.02  # pause in accepting
+CLIENT_PART = 0.5  # of all descriptors, for clients of all fronts
 
 
 class Connected(Protocol):
@@ -35,12 +37,17 @@
         post: Callable[[Event], None],
         deadlines: Deadlines,
         clock: Clock,
-        most_clients: int,
+        config: Config,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
-        self.most_clients = most_clients
         self.clients: set[C] = set()
         self.stopping = False
+        self.configure(config)
+
+    def configure(self, config: Config) -> None:
+        """Go by this configuration from now on."""
+        part = CLIENT_PART / 2 if config.objects else CLIENT_PART
+        self.most_clients = int(config.max_sockets * part)
 
     def new_client(self, sock: socket.socket) -> C:
         """Make a client of an accepted socket."""
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -442,12 +442,17 @@
         config: Config,
         settings: ObjectSettings,
         store: SharedStore,
-        most_clients: int,
     ) -> None:
-        super().__init__(group, post, deadlines, clock, most_clients)
+        super().__init__(group, post, deadlines, clock, config)
         self.config, self.settings, self.store = config, settings, store
         self.bodies = Bodies(max(BODIES_BYTES, settings.max_body))
 
+    def configure(self, config: Config) -> None:
+        """Go by these volumes, classes and limits."""
+        super().configure(config)
+        if config.objects:
+            self.config, self.settings = config, config.objects
+
     def new_client(self, sock: socket.socket) -> ObjectClient:
         """Make a client of an accepted socket."""
         return ObjectClient(self, sock)
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -16,6 +16,7 @@
 from runloft.net.links import RespPayload
 from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
 from runloft.net.timing import Clock
+from runloft.settings import Config
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
@@ -250,11 +251,14 @@
         post: Callable[[Event], None],
         deadlines: Deadlines,
         clock: Clock,
-        translator: Translator,
-        most_clients: int,
+        config: Config,
     ) -> None:
-        super().__init__(group, post, deadlines, clock, most_clients)
-        self.translator = translator
+        super().__init__(group, post, deadlines, clock, config)
+
+    def configure(self, config: Config) -> None:
+        """Go by these names and limits."""
+        super().configure(config)
+        self.translator = Translator(config.class_names, config.plan_names)
 
     def new_client(self, sock: socket.socket) -> Client:
         """Make a client of an accepted socket."""
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -16,7 +16,7 @@
 from runloft.core.model import Event, Listed, NodeNews
 from runloft.decisions.contract import ListKind, NodeState
 from runloft.net.sockets import close, connect, connecting
-from runloft.net.timing import pause
+from runloft.net.timing import pause, within
 
 log = structlog.get_logger()
 STATES = {
@@ -26,6 +26,7 @@
 }
 SILENCE_NS = 5_000_000_000  # an empty line comes every 2 s
 BACKOFF_S, BACKOFF_MOST_S = 0.05, 1.0
+CONNECT_S = 1.0  # the agent is on this machine: it is up or it is not
 LINE_LIMIT = 1 << 20
 # What discovery may do to a watch; whatever it is, the watch is opened again.
 WATCH_ERRORS = (ArithmeticError, OSError, TypeError, ValueError, h11.ProtocolError, anyio.ClosedResourceError)
@@ -71,25 +72,41 @@
     ) -> None:
         self.where, self.rev, self.zones = where, rev, zones
         self.post, self.deadlines, self.clock = post, deadlines, clock
+        self._round = anyio.CancelScope()
+
+    def move(self, where: tuple[str, int]) -> None:
+        """Watch at another address from now on, without waiting for what ends at the old one."""
+        if where != self.where:
+            self.where = where
+            self._round.cancel()
 
     async def run(self) -> None:
         """Watch for as long as the program runs."""
         wait = BACKOFF_S
         while True:
-            before = self.rev, self.clock()
-            try:
-                await self._watch()
-            except WATCH_ERRORS as error:
-                log.info("watch ended", error=repr(error), rev=self.rev)
-            lasted = self.clock() - before[1] > SILENCE_NS
-            wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, BACKOFF_MOST_S)
-            await pause(self.deadlines, self.clock, wait)
+            with anyio.CancelScope() as self._round:
+                wait = await self._rest(wait)
+            if self._round.cancelled_caught:
+                wait = BACKOFF_S
+
+    async def _rest(self, wait: float) -> float:
+        """Watch until that ends and wait a while; how long the next wait may be."""
+        before = self.rev, self.clock()
+        try:
+            await self._watch()
+        except WATCH_ERRORS as error:
+            log.info("watch ended", error=repr(error), rev=self.rev)
+        lasted = self.clock() - before[1] > SILENCE_NS
+        wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, BACKOFF_MOST_S)
+        await pause(self.deadlines, self.clock, wait)
+        return wait
 
     async def _watch(self) -> None:
         sock = connecting()
         silence = self.deadlines.add(self.clock() + SILENCE_NS, lambda: close(sock))
         try:
-            await connect(sock, self.where)
+            with within(self.deadlines, self.clock, CONNECT_S):
+                await connect(sock, self.where)
             protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
             request = h11.Request(
                 method="GET",
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -13,7 +13,7 @@
 from runloft.decisions.contract import Ending, NodeState
 from runloft.net import resp2
 from runloft.net.sockets import Inbox, Outbox, close, connect, connecting, is_quiet
-from runloft.settings import address
+from runloft.settings import Config, address
 
 log = structlog.get_logger()
 IDLE_PART = 0.7  # of the time after which a node closes an idle connection: ours goes well before
@@ -50,21 +50,25 @@
         post: Callable[[Event], None],
         deadlines: Deadlines,
         clock: Callable[[], int],
-        connect_timeout_ns: int,
-        conn_idle_ns: int,
-        most: int = 256,
+        config: Config,
         *,
         kind: "type[Connection]",
+        part: int = 4,
         endpoint: Callable[[NodeNews], str] = lambda news: news.endpoint,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
-        self.connect_timeout_ns = connect_timeout_ns
-        self.idle_ns = int(conn_idle_ns * IDLE_PART)
-        self.most, self.kind, self.endpoint = most, kind, endpoint
+        self.kind, self.part, self.endpoint = kind, part, endpoint
+        self.configure(config)
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.out: dict[int, Connection] = {}
         self.open: set[Connection] = set()
 
+    def configure(self, config: Config) -> None:
+        """Go by these times and by this part of the descriptors."""
+        self.connect_timeout_ns = config.settings.connect_timeout_ns or 1_000_000_000
+        self.idle_ns = int(config.conn_idle_ns * IDLE_PART)
+        self.most = config.max_sockets // self.part
+
     def dispatch(self, order: Dispatch) -> None:
         """Write an attempt on a free connection, or on a new one."""
         place = (order.node.uid, self.endpoint(order.node))
--- /dev/null
+++ b/runloft/net/reload.py
@@ -0,0 +1,89 @@
+"""Reload: a new configuration file is read, checked, and taken over as far as that goes."""
+
+from collections.abc import Callable, Iterable
+from dataclasses import replace
+from typing import Any, Protocol
+
+import structlog
+
+from runloft.core.model import Event, Reconfigured
+from runloft.decisions.contract import ListKind
+from runloft.net.discovery import Watch, listed
+from runloft.settings import Config, ConfigError, load_config
+
+log = structlog.get_logger()
+
+
+class Configured(Protocol):
+    """A part whose limits or settings may change while it runs."""
+
+    def configure(self, config: Config) -> None:
+        """Go by this configuration from now on."""
+
+
+class Reload:
+    """What is to happen on SIGHUP, as often as it comes."""
+
+    def __init__(
+        self,
+        path: str | None,
+        config: Config,
+        watch: Watch,
+        post: Callable[[Event], None],
+        parts: Iterable[Configured],
+    ) -> None:
+        self.path, self.config, self.watch, self.post, self.parts = path, config, watch, post, parts
+
+    def __call__(self) -> None:
+        """Read the file again; one that can't be served changes nothing."""
+        if self.path is None:
+            log.warning("reload passed over: the configuration came from no file")
+            return
+        try:
+            fresh = load_config(self.path)
+        except ConfigError as error:
+            log.error("reload failed, the old configuration stands", faults=error.faults)
+            return
+        fresh, waiting = changeable(self.config, fresh)
+        if waiting:
+            log.warning("some changes need a restart", keys=waiting)
+        self.watch.zones = fresh.zones
+        self.watch.move(fresh.discovery)
+        rev = fresh.known.get("rev")
+        if isinstance(rev, int) and rev > self.watch.rev:  # the file knows more than the watch has told
+            self.watch.rev = rev
+            self.post(listed(fresh.known, fresh.zones, ListKind.FULL))
+        if (fresh.settings, fresh.bounds) != (self.config.settings, self.config.bounds):
+            self.post(Reconfigured(fresh.settings, fresh.bounds))
+        for part in self.parts:
+            part.configure(fresh)
+        self.config = fresh
+        log.info("reloaded", discovery="{}:{}".format(*fresh.discovery), rev=self.watch.rev)
+
+
+def changeable(old: Config, new: Config) -> tuple[Config, list[str]]:
+    """Give the new configuration less what can't change in a running program, and the keys of that."""
+    kept: dict[str, Any] = {}
+    waiting = []
+    for key in ("name", "listen"):
+        if getattr(old, key) != getattr(new, key):
+            kept[key] = getattr(old, key)
+            waiting.append(key)
+    # Open requests and learned state go by the numbers of classes and plans: more may come, none may move.
+    known = len(old.class_names), len(old.plan_names)
+    if (new.class_names[: known[0]], new.plan_names[: known[1]]) != (old.class_names, old.plan_names):
+        kept |= {"settings": old.settings, "class_names": old.class_names, "plan_names": old.plan_names}
+        kept["objects"] = old.objects
+        waiting.append("settings")
+    elif (old.objects is None) != (new.objects is None):
+        kept["objects"] = old.objects
+        waiting.append("objects")
+    elif old.objects and new.objects:
+        fixed = {
+            key: getattr(old.objects, key)
+            for key in ("listen", "store")
+            if getattr(old.objects, key) != getattr(new.objects, key)
+        }
+        kept["objects"] = replace(new.objects, **fixed)
+        waiting += [f"objects.{key}" for key in fixed]
+    return replace(new, **kept), waiting
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -3,7 +3,7 @@
 import signal
 import socket
 import time
-from collections.abc import Callable, Collection, Iterable, Sequence
+from collections.abc import AsyncIterator, Callable, Collection, Iterable, Sequence
 from functools import partial
 from typing import Protocol
 
@@ -14,9 +14,10 @@
 from runloft.core.model import Abandon, Answer, Begin, Dispatch, Effect, Event, Listed, NodeNews
 from runloft.core.reducer import Core
 from runloft.decisions.contract import ListKind
-from runloft.fronts.resp import RespFront, Translator
+from runloft.fronts.resp import RespFront
 from runloft.net.discovery import Watch, listed
 from runloft.net.links import NodeLink, RespConnection
+from runloft.net.reload import Configured, Reload
 from runloft.net.sockets import close, listening
 from runloft.net.timing import pause
 from runloft.settings import Config, ObjectSettings
@@ -25,7 +26,6 @@
 POLL_S = 0.02  # while winding down
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
 LATE_NS = 15_000_000
-CLIENT_PART = 0.5  # of all descriptors, for clients
 
 
 class Clock:
@@ -51,6 +51,9 @@
     def listed(self, nodes: tuple[NodeNews, ...]) -> None:
         """Heed news of the nodes."""
 
+    def configure(self, config: Config) -> None:
+        """Go by this configuration from now on."""
+
     def close(self) -> None:
         """Close everything."""
 
@@ -71,6 +74,9 @@
     def stop(self) -> None:
         """Close connections between requests."""
 
+    def configure(self, config: Config) -> None:
+        """Go by this configuration from now on."""
+
 
 class Runner:
     """The turn: what has come since the last one goes to the reducer in one step."""
@@ -131,25 +137,33 @@
                     asker.begin(value, node, shard)
 
 
-async def serve(config: Config) -> None:
+async def serve(config: Config, path: str | None = None) -> None:
     """Run one scheduler until it is told to stop and all that it took is answered."""
     clock, deadlines = Clock(), Deadlines()
-    core = Core(config.settings, config.seed, clock(), deadlines)
+    core = Core(config.settings, config.seed, clock(), deadlines, config.bounds)
     runner = Runner(core, deadlines, clock)
+    signals = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
+    with signals as received:
+        await _serve(config, path, runner, received)
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what is left is the way out
+    log.info("stopped", name=config.name)
+
+
+async def _serve(
+    config: Config, path: str | None, runner: Runner, received: AsyncIterator[signal.Signals]
+) -> None:
+    core, deadlines, clock = runner.core, runner.deadlines, runner.clock
     async with anyio.create_task_group() as group:
         runner.links["resp"] = NodeLink(
             group,
             runner.post,
             deadlines,
             clock,
-            config.settings.connect_timeout_ns or 1_000_000_000,
-            config.conn_idle_ns,
-            most=config.max_sockets // 4,
+            config,
             kind=RespConnection,
+            part=4,
         )
-        translator = Translator(config.class_names, config.plan_names)
-        most = int(config.max_sockets * (CLIENT_PART / 2 if config.objects else CLIENT_PART))
-        fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, translator, most)]
+        fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, config)]
         listeners = [listening(config.listen)]
         store = None
         if config.objects:
@@ -160,7 +174,7 @@
 
             store = SharedStore(config.objects.store)
             fronts.append(
-                ObjectFront(group, runner.post, deadlines, clock, config, config.objects, store, most)
+                ObjectFront(group, runner.post, deadlines, clock, config, config.objects, store)
             )
             listeners.append(listening(config.objects.listen))
             runner.links["http"] = NodeLink(
@@ -168,29 +182,30 @@
                 runner.post,
                 deadlines,
                 clock,
-                config.settings.connect_timeout_ns or 1_000_000_000,
-                config.conn_idle_ns,
-                most=config.max_sockets // 8,
+                config,
                 kind=HttpConnection,
+                part=8,
                 endpoint=partial(object_endpoint, config.objects),
             )
         runner.post(listed(config.known, config.zones, ListKind.CACHED))
         rev = int(config.known.get("rev", 0) or 0)
         watch = Watch(config.discovery, rev, config.zones, runner.post, deadlines, clock)
+        stopped = anyio.Event()
         group.start_soon(runner.run)
         group.start_soon(watch.run)
         for front, listener in zip(fronts, listeners, strict=True):
             group.start_soon(front.accept, listener)
             host, port = listener.getsockname()
             log.info("serving", name=config.name, front=type(front).__name__, at=f"{host}:{port}")
-        await _stopped()
+        parts: list[Configured] = [*fronts, *runner.links.values()]
+        group.start_soon(_heed, received, Reload(path, config, watch, runner.post, parts), stopped)
+        await stopped.wait()
         await wind_down(fronts, listeners, core, clock)
         for link in runner.links.values():
             link.close()
         if store:
             await store.close()
         group.cancel_scope.cancel()
-    log.info("stopped", name=config.name)
 
 
 def object_endpoint(settings: ObjectSettings, news: NodeNews) -> str:
@@ -199,10 +214,15 @@
     return news.object_endpoint or f"{host}:{settings.server_port}"
 
 
-async def _stopped() -> None:
-    with anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT) as signals:
-        async for _ in signals:
-            return
+async def _heed(
+    received: AsyncIterator[signal.Signals], reload: Callable[[], None], stopped: anyio.Event
+) -> None:
+    """Act on signals to the very end: a reload that comes while winding down must not end the program."""
+    async for got in received:
+        if got == signal.SIGHUP:
+            reload()
+        else:
+            stopped.set()
 
 
 async def wind_down(
--- a/runloft/settings.py
+++ b/runloft/settings.py
@@ -11,6 +11,7 @@
 from pathlib import Path
 from typing import Any
 
+from runloft.core.model import Bounds
 from runloft.decisions import contract
 
 EFFECTS = {"retryable": contract.Effect.SAFE, "dedup": contract.Effect.KEYED}
@@ -34,6 +35,8 @@
 
 
 OPERATIONS = ("get", "head", "put", "delete", "create", "part", "complete", "abort", "parts")
+MEMORY_MB = 192  # where the file names no limit
+PROGRAM_MB = 24  # what the program itself takes; the rest is for requests, bodies and buffers
 TOP_KEYS = {"name", "listen", "discovery", "seed", "limits", "known", "settings", "objects"}
 OBJECT_KEYS = {"listen", "store", "unit_bytes", "max_body", "server_port", "classes", "volumes"}
 
@@ -76,6 +79,17 @@
     max_sockets: int
     zones: tuple[str, ...] = ()
     objects: ObjectSettings | None = None
+    memory_mb: int = MEMORY_MB
+
+    @property
+    def spare_bytes(self) -> int:
+        """The memory that requests, bodies and buffers may take together."""
+        return max(4, self.memory_mb - PROGRAM_MB) << 20
+
+    @property
+    def bounds(self) -> Bounds:
+        """What the core may hold: a third of the spare memory for requests, a quarter for bodies."""
+        return Bounds(min(2048, self.spare_bytes // 3 // 4096), self.spare_bytes // 4)
 
 
 def address(text: str) -> tuple[str, int]:
@@ -167,6 +181,9 @@
     sockets = limits.get("sockets", 1024) if isinstance(limits, dict) else 0
     if not isinstance(sockets, int) or sockets < 32:
         faults.append("limits.sockets: a number of at least 32 is wanted")
+    memory = limits.get("memory_mb", MEMORY_MB) if isinstance(limits, dict) else MEMORY_MB
+    if isinstance(memory, bool) or not isinstance(memory, int | float) or not memory >= 1:
+        faults.append("limits.memory_mb: a positive number is wanted")
     class_names, plan_names = _names(pairs, "Classes"), _names(pairs, "ServiceLevels")
     objects = None
     if "objects" in raw:
@@ -186,6 +203,7 @@
         max_sockets=sockets,
         zones=tuple(name for name in pairs.get("Localities", "").split(",") if name),
         objects=objects,
+        memory_mb=int(memory),
     )
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -258,6 +258,7 @@
     """runloft as the platform starts it."""
 
     def __init__(self, raw, path, env=None):
+        self.path = path
         path.write_text(json.dumps(raw))
         command = [sys.executable, "-m", "runloft", "serve"]
         self.process = subprocess.Popen(
@@ -281,6 +282,10 @@
         sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
         return sock
 
+    def reload(self, text):
+        self.path.write_text(text)
+        self.process.send_signal(signal.SIGHUP)
+
     def terminate(self):
         self.process.send_signal(signal.SIGTERM)
         return self.process.wait(15)
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -6,6 +6,10 @@
 
 from runloft.core.deadlines import Deadlines
 from runloft.fronts.accepting import AcceptingFront
+from runloft.settings import config_from_json
+from tests.standins import config
+
+CONFIG = config_from_json(config("127.0.0.1:1", []))
 
 
 class Listener:
@@ -20,7 +24,9 @@
 
 
 def front(most=5):
-    return AcceptingFront(None, None, Deadlines(), lambda: 0, most)
+    made = AcceptingFront(None, None, Deadlines(), lambda: 0, CONFIG)
+    made.most_clients = most
+    return made
 
 
 def test_no_descriptor_left_is_a_pause_and_not_the_end():
--- /dev/null
+++ b/tests/test_reload.py
@@ -0,0 +1,103 @@
+"""SIGHUP: what a new file changes, what it can't change, and what it must not disturb."""
+
+import json
+import signal
+from dataclasses import replace
+
+import pytest
+
+from runloft.core.model import Ended, Reconfigured, Refused
+from runloft.decisions.contract import Ending, NewSettings, PlanSettings, Send
+from runloft.net.reload import changeable
+from runloft.settings import config_from_json
+from tests.driver import MS, Host, settings
+from tests.standins import Discovery, Program, RespNode, config, entry, until
+from tests.test_core import Turns
+
+READ = b"c=position-read,t=basic,d=2000,volume=00000003b4d60021,units=2,shard=0,hosts=1"
+
+
+def command(id_):
+    words = (b"IO.IN", b"7f3a9c21e0b4d655", id_, READ)
+    return b"*4\r\n" + b"".join(b"$%d\r\n%s\r\n" % (len(w), w) for w in words)
+
+
+def test_a_reload_moves_the_watch_at_once_and_answers_what_is_open(tmp_path):
+    old, new, node = Discovery(), Discovery(), RespNode(delay=0.4)
+    raw = config(old.address, [entry(node.address)])
+    program = Program(raw, tmp_path / "config.json")
+    try:
+        until(lambda: old.watches)
+        client = program.connect()
+        client.sendall(command(b"0000000000000001"))
+        program.reload("{ no json")
+        until(lambda: any("reload failed" in line for line in program.log))
+        for _ in range(2):  # twice in a row: the second changes nothing
+            program.reload(json.dumps(raw | {"discovery": new.address, "name": "other"}))
+        until(lambda: new.watches, 3)
+        assert b"index=1" in new.asked[0] and len(new.asked) == 1
+        assert client.recv(100) == b"$2\r\nok\r\n"
+        assert any("restart" in line and "name" in line for line in program.log)
+        client.sendall(command(b"0000000000000002"))  # open while the program winds down
+        until(lambda: len(node.log) > 1 or node.lock.locked())
+        program.process.send_signal(signal.SIGTERM)
+        program.reload(json.dumps(raw))
+        assert client.recv(100) == b"$2\r\nok\r\n"
+        assert program.process.wait(15) == 0
+    finally:
+        program.close()
+        for part in (old, new, node):
+            part.close()
+
+
+def changed(path, value):
+    raw = config("127.0.0.1:1", [], "127.0.0.1:2")
+    *way, last = path.split(".")
+    inner = raw
+    for key in way:
+        inner = inner[int(key) if key.isdigit() else key]
+    inner[last] = value
+    return config_from_json(raw)
+
+
+OLD = changed("name", "n0")
+
+
+@pytest.mark.parametrize(
+    "path, value, waiting",
+    [
+        ("listen", "127.0.0.1:7", ["listen"]),
+        ("objects.store", "redis://127.0.0.1:3/0", ["objects.store"]),
+        ("class_names", ("other", "report-write"), ["settings"]),
+        ("objects", None, ["objects"]),
+        ("discovery", ("127.0.0.1", 9), []),
+        ("limits.memory_mb", 64, []),
+        ("settings.Classes.0.Target", 100 * MS, []),
+    ],
+)
+def test_what_can_change_in_a_running_program(path, value, waiting):
+    fresh = replace(OLD, **{path: value}) if hasattr(OLD, path) and path != "listen" else None
+    got = changeable(OLD, fresh or changed(path, value))
+    assert got[1] == waiting and (got[0] == OLD) is bool(waiting)
+
+
+def test_new_settings_reach_the_module_and_what_is_open_goes_on():
+    turns = Turns()
+    asker, _ = turns.take([Send(1, 1)])
+    fresh, bounds = settings(max_attempts=1), replace(turns.core.bounds, requests=2)
+    assert turns.step(Reconfigured(fresh, bounds)) == []
+    assert isinstance(turns.script.told[-1], NewSettings) and turns.core.settings is fresh
+    assert turns.take()[1][0].reply == Refused()  # by the new bound
+    assert turns.step(Ended(1, Ending.OK, b"v"))[0].asker is asker
+
+
+def test_the_module_keeps_what_it_learned_and_goes_by_the_new_figures():
+    host = Host(settings(plan=PlanSettings(rate=10.0, reserve=1000.0)))
+    host.ask()
+    host.wait(10)
+    node, fresh = host.scheduler.nodes[10], settings(plan=PlanSettings(reserve=5.0), cold_ns=7, fall_ns=9)
+    host.see(NewSettings(fresh))
+    store = host.scheduler.volumes[1]
+    assert host.scheduler.nodes[10] is node and node.out
+    assert (node.served.window, node.recent.window) == (7, 9)
+    assert store.plan.reserve == 5.0 and store.reserve_most < 1000
