Hold bad clients to times and grammar; the first whole answer of a node stands

At fault: Translator.ask, Client.run (no time at all), AcceptingFront.accept_waiting (a pause at the cap), RespConnection.read (a whole answer with more behind it was dropped), outcome() (a wrong kind of reply).

--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -44,6 +44,7 @@
     volume_hosts: float = 1.0
     is_write: bool = False
     is_client_retry: bool = False
+    id: bytes = b""  # as its client names it, where the wire has ids: no two open requests share one
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,7 +91,14 @@
     cause: Ending | None = None
 
 
-Reply = Served | Refused | Failed
+@dataclass(frozen=True, slots=True)
+class Rejected:
+    """Not a request that can be taken: it is an error and nothing of it has run."""
+
+    reason: str
+
+
+Reply = Served | Refused | Failed | Rejected
 
 
 class Asker(Protocol):
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -4,6 +4,7 @@
 leaves, every send has one outcome, and news of what has ended is passed over.
 """
 
+from collections import deque
 from collections.abc import Iterable
 from dataclasses import dataclass, field, replace
 from itertools import count
@@ -28,6 +29,7 @@
     NodeNews,
     Reconfigured,
     Refused,
+    Rejected,
     Served,
     Taken,
 )
@@ -35,6 +37,7 @@
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
 from runloft.decisions.policy import Scheduler
 
+USED_NS = 2_000_000_000  # so long an id that is no longer open is still known
 WIRE_PART = 0.5  # of each bound, for what comes by one wire: a flood on one front leaves room for the other
 
 
@@ -79,12 +82,15 @@
         self, settings: Settings, seed: int, now: int, deadlines: Deadlines, bounds: Bounds | None = None
     ) -> None:
         self.settings, self.deadlines, self.bounds = settings, deadlines, bounds or Bounds()
+        self.now = now
         self.scheduler = Scheduler(settings, seed, now)
         self.requests: dict[int, Open] = {}
         self.by_asker: dict[Asker, Open] = {}
         self.attempts: dict[int, Attempt] = {}
         self.nodes: dict[int, NodeNews] = {}
         self.node_numbers: dict[str, int] = {}
+        self.ids: set[tuple[str, bytes]] = set()  # by wire: of open requests, and of those just over
+        self._used: deque[tuple[int, tuple[str, bytes]]] = deque()
         self.use: dict[str, list[int]] = {}  # by wire: requests open, bytes held
         self._request_ids, self._attempt_ids = count(1), count(1)
         self._next_turn: list[contract.Event] = []
@@ -96,6 +102,9 @@
     def step(self, now: int, events: Iterable[Event]) -> list[Effect]:
         """Take in all that has come, ask the module once, and give what is to be done, in order."""
         effects: list[Effect] = []
+        self.now = now
+        while self._used and (self._used[0][0] < now - USED_NS or len(self._used) > self.bounds.requests):
+            self.ids.discard(self._used.popleft()[1])
         told, self._next_turn = self._next_turn, []
         for event in events:
             match event:
@@ -138,6 +147,12 @@
         if full:  # guards memory, whatever the clients do
             effects.append(Answer(asker, Refused()))
             return
+        name = (ask.payload.wire, ask.id)
+        if ask.id and name in self.ids:
+            # Guards the request that has this id: a node would take the second for a copy of the first.
+            effects.append(Answer(asker, Rejected("this id is another request's")))
+            return
+        self.ids.add(name)
         use[0], use[1] = use[0] + 1, use[1] + size
         request = Open(next(self._request_ids), asker, ask, now + ask.time_left_ns)
         self.requests[request.id] = self.by_asker[asker] = request
@@ -242,6 +257,7 @@
         if request.over and not request.out and request.id in self.requests:
             del self.requests[request.id]
             use, payload = self.use[request.ask.payload.wire], request.ask.payload
+            self._used.append((self.now, (payload.wire, request.ask.id)))
             use[0], use[1] = use[0] - 1, use[1] - payload.held_bytes
 
     def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -1,7 +1,7 @@
-"""What both fronts do alike: accept connections, as many as there is room for."""
+"""What both fronts do alike: accept connections, and part with the least useful ones in a crowd."""
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
 
 import anyio
@@ -10,20 +10,29 @@
 
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Event
+from runloft.net.sockets import nothing_to_read
 from runloft.net.timing import Clock, pause
 from runloft.settings import Config
 
 log = structlog.get_logger()
 FULL_S = 0.02  # pause in accepting
-CLIENT_PART = 0.5  # of all descriptors, for clients of all fronts
+BURST = 16  # connections accepted in a row; then the clients that are there have their turn
+CROWD_PART = 1 / 3  # of all descriptors, for clients: beyond it those go that can be spared
+CLIENT_PART = 1 / 2  # at most, while each of them is owed an answer
+PART_WITH = 8  # connections closed at a time: finding them costs a look at all
 
 
 class Connected(Protocol):
     """A client's connection."""
 
+    sock: socket.socket
+
     async def run(self) -> None:
         """Serve it until it is over."""
 
+    def end(self) -> None:
+        """Close it."""
+
 
 C = TypeVar("C", bound=Connected)
 
@@ -46,32 +55,52 @@
 
     def configure(self, config: Config) -> None:
         """Go by this configuration from now on."""
-        part = CLIENT_PART / 2 if config.objects else CLIENT_PART
-        self.most_clients = int(config.max_sockets * part)
+        fronts = 2 if config.objects else 1
+        self.crowd = int(config.max_sockets * CROWD_PART) // fronts
+        self.most_clients = int(config.max_sockets * CLIENT_PART) // fronts
 
     def new_client(self, sock: socket.socket) -> C:
         """Make a client of an accepted socket."""
         raise NotImplementedError
 
-    def make_room(self) -> bool:
-        """Close a client that can be spared; whether there was one."""
-        return False
+    def spared(self) -> Sequence[C]:
+        """Those whose close costs nobody an answer, the least useful first."""
+        return ()
+
+    def is_crowded(self) -> bool:
+        """Whether connections are so many that an idle one is one too many."""
+        return len(self.clients) > self.crowd // 2
+
+    def make_room(self) -> None:
+        """Close some of the least useful connections, but none that has just asked for something."""
+        closed = 0
+        for client in self.spared():
+            if closed >= PART_WITH:
+                return
+            if nothing_to_read(client.sock):
+                client.end()
+                closed += 1
 
     async def accept(self, listener: socket.socket) -> None:
         """Accept until the listener closes."""
         while True:
             try:
-                if not self.accept_waiting(listener):
+                if not self.accept_waiting(listener, BURST):
                     # Full or out of descriptors: the rest waits in the kernel.
                     await pause(self.deadlines, self.clock, FULL_S)
+                await anyio.sleep(0)
                 await anyio.wait_readable(listener)
             except (OSError, ValueError, anyio.ClosedResourceError):
                 return
 
-    def accept_waiting(self, listener: socket.socket) -> bool:
-        """Accept what is there; whether there was room for all of it."""
-        while True:
-            if len(self.clients) >= self.most_clients and not self.make_room():
+    def accept_waiting(self, listener: socket.socket, most: int | None = None) -> bool:
+        """Accept what is there, or so many; whether there was room."""
+        count = 0
+        while most is None or count < most:
+            count += 1
+            if len(self.clients) >= self.crowd:
+                self.make_room()
+            if len(self.clients) >= self.most_clients:
                 return False
             try:
                 sock, _ = listener.accept()
@@ -88,3 +117,4 @@
             client = self.new_client(sock)
             self.clients.add(client)
             self.group.start_soon(client.run)
+        return True
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -3,82 +3,34 @@
 import math
 import socket
 from collections import deque
-from collections.abc import Callable
 
 import anyio
-import anyio.abc
 import structlog
 
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Ask, Event, Left, Refused, Reply, Served, Taken
+from runloft.core.deadlines import Mark
+from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
 from runloft.fronts.accepting import AcceptingFront
+from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
-from runloft.net.links import RespPayload
 from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
-from runloft.net.timing import Clock
+from runloft.net.timing import pause
 from runloft.settings import Config
 
 log = structlog.get_logger()
 PIPELINED = 128  # unanswered commands on one connection; more wait in the socket
-MOST_SHARD = 65_535  # as on the simulator's wire
-TRAVEL_NS = 25_000_000  # of a client's time, for ways whose length nobody tells
+AT_ONCE = 16  # commands of one connection in a row; then all others have their turn
 UNWRITTEN = 512 << 10  # bytes of answers that a client has not read; then its commands wait
 COMMAND_LIMIT = 72 << 10
+BUFFER_PART = 8  # of the spare memory: commands that are half read, of all clients together
+SPEAK_NS = 2_000_000_000  # a command is whole by then, counted from connecting or the last whole one
+IDLE_NS = 15_000_000_000  # a connection may rest so long between requests; in a crowd, SPEAK_NS
+STUCK_NS = 5_000_000_000  # a client that reads nothing of its answers for so long is gone
+LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last error
+FREE_ERRORS, MOST_ERRORS = 4, 24  # in a row on one connection: before it is slowed down, and closed
+SLOW_S, SLOWEST_S = 0.01, 0.25
 FAILED = b"-ERR failed\r\n"
 
 
-class BadCommandError(ValueError):
-    """A command that can't be served; the connection goes on."""
-
-
-class Translator:
-    """IO.IN and IO.OUT into ``Ask``, by the names in the settings."""
-
-    def __init__(self, class_names: tuple[str, ...], plan_names: tuple[str, ...]) -> None:
-        self.classes = {name.encode(): index for index, name in enumerate(class_names)}
-        self.plans = {name.encode(): index for index, name in enumerate(plan_names)}
-
-    def ask(self, words: list[bytes]) -> Ask:
-        """Translate one command."""
-        is_write = words[0].upper() == b"IO.OUT"
-        if len(words) != (5 if is_write else 4):
-            raise BadCommandError("wrong number of arguments")
-        attributes = words[3]
-        pairs = dict(pair.partition(b"=")[::2] for pair in attributes.split(b","))
-        try:
-            klass, plan = self.classes[pairs[b"c"]], self.plans[pairs[b"t"]]
-            wait_ms, units = float(pairs[b"d"]), float(pairs[b"units"])
-            shard, hosts = int(pairs[b"shard"]), float(pairs.get(b"hosts", b"1"))
-            volume, key = int(pairs[b"volume"], 16), int(words[1], 16)
-        except (KeyError, ValueError) as error:
-            raise BadCommandError(f"bad attributes: {error!r}"[:120].replace("\r", " ")) from None
-        fits = all(map(math.isfinite, (wait_ms, units, hosts))) and wait_ms > 0 and units > 0
-        if not fits or not -1 <= shard <= MOST_SHARD:
-            raise BadCommandError("bad attributes: a figure out of range")
-        at = 0 if attributes.startswith(b"d=") else attributes.index(b",d=") + 1
-        after = attributes.find(b",", at)
-        payload = RespPayload(
-            (words[0], words[1], words[2], *words[4:]),
-            attributes[: at + 2],
-            attributes[after:] if after >= 0 else b"",
-        )
-        return Ask(
-            klass=klass,
-            plan=plan,
-            volume=volume,
-            units=units,
-            # Guards answers given at the last moment: the client counts from when it sent, and waits
-            # for the answer's last byte.
-            time_left_ns=max(int(min(wait_ms, 3.6e6) * 1_000_000) - TRAVEL_NS, 1_000_000),
-            shard=shard if shard >= 0 else None,
-            payload=payload,
-            key=key,
-            volume_hosts=max(1.0, hosts),
-            is_write=is_write,
-            is_client_retry=pairs.get(b"r") == b"1",
-        )
-
-
 class Slot:
     """One command's place in the order of answers on its connection."""
 
@@ -105,6 +57,9 @@
                 self.put(b"-BUSY\r\n")
             case Refused(retry_after_ns, _):
                 self.put(b"-BUSY %d\r\n" % math.ceil(retry_after_ns / 1_000_000))
+            case Rejected(reason):
+                self.client.errors += 1
+                self.put(b"-ERR %s\r\n" % reason.encode())
             case _:
                 self.put(FAILED)
 
@@ -117,41 +72,78 @@
         self.inbox, self.outbox = Inbox(COMMAND_LIMIT), Outbox()
         self.slots: deque[Slot] = deque()
         self.room: anyio.Event | None = None
-        self.ended = self.writing = self.closing = False
-        self.used_at = front.clock()
+        self.reading = anyio.CancelScope()
+        self.ended = self.writing = self.closing = self.lingering = self.half_read = self.spoke = False
+        self.errors = self.buffered = 0
+        self.used_at = self.moved_at = front.clock()  # last whole command or answer; last byte taken by it
+        self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
-        """Read commands until the client closes or its framing is lost."""
+        """Read commands until the client closes, its framing is lost or it does not keep to its times."""
         try:
-            while not self.ended and not self.closing:
-                if len(self.slots) >= PIPELINED or self.outbox.size > UNWRITTEN:
-                    self.room = anyio.Event()
-                    await self.room.wait()
-                    continue
-                try:
-                    if not self.inbox.receive(self.sock):
-                        break
-                except BlockingIOError:
-                    await anyio.wait_readable(self.sock)
-                    continue
-                self._commands()
-            if not self.closing:
-                self.end()
+            with self.reading:
+                await self._read()
+            if self.closing:
+                await self._linger()
         except (OSError, BufferError, anyio.ClosedResourceError):
-            self.end()
+            pass
+        self.end()
+
+    async def _read(self) -> None:
+        while not self.ended and not self.closing:
+            if len(self.slots) >= PIPELINED or self.outbox.size > UNWRITTEN:
+                self.room = anyio.Event()
+                await self.room.wait()
+            elif self._commands():
+                # Guards the other clients: a flood on one connection gets one turn like all others.
+                slowness = self._slowness()
+                await (self._rest(slowness) if slowness else anyio.sleep(0))
+            elif not self.closing and not await self._receive():
+                return
 
-    def _commands(self) -> None:
-        inbox = self.inbox
-        try:
-            while (piece := resp2.parse_command(inbox.data, inbox.start, inbox.end)) is not None:
-                words, inbox.start = piece
-                if words:
-                    self._command(words)
-        except resp2.RespError as error:
-            # Framing is lost: say so behind the answers that are owed, and close.
+    async def _receive(self) -> bool:
+        """Read once; whether the client goes on."""
+        while True:
+            try:
+                got = self.inbox.receive(self.sock)
+            except BlockingIOError:
+                self.inbox.shrink()
+                self._account()
+                await anyio.wait_readable(self.sock)
+                continue
+            self._account()
+            self.front.relieve()
+            return got > 0
+
+    def _account(self) -> None:
+        self.front.buffers += len(self.inbox.data) - self.buffered
+        self.buffered = len(self.inbox.data)
+
+    def _commands(self) -> bool:
+        """Take some commands; whether there may be more, whole ones, in what has been read."""
+        inbox, taken = self.inbox, 0
+        while taken < AT_ONCE and len(self.slots) < PIPELINED and not self.closing:
+            try:
+                piece = resp2.parse_command(inbox.data, inbox.start, inbox.end)
+            except resp2.RespError as error:
+                self.fail(str(error))
+                return False
+            if piece is None:
+                self.half_read = inbox.start != inbox.end
+                return False
+            words, inbox.start = piece
+            taken += 1
+            self.used_at, self.spoke = self.front.clock(), True
+            if words:
+                self._command(words)
+        return not self.closing
+
+    def fail(self, reason: str) -> None:
+        """Say behind the answers that are owed that nothing more is read, and close after them."""
+        if not self.closing and not self.ended:
             self.closing = True
-            self._slot().put(b"-ERR Protocol error: %s\r\n" % str(error).encode())
-        inbox.shrink()
+            self.reading.cancel()
+            self._slot().put(b"-ERR Protocol error: %s\r\n" % reason.encode())
 
     def _slot(self) -> Slot:
         slot = Slot(self)
@@ -160,13 +152,13 @@
 
     def _command(self, words: list[bytes]) -> None:
         slot, name = self._slot(), words[0].upper()
-        self.used_at = self.front.clock()
         if name in (b"IO.IN", b"IO.OUT"):
             try:
                 ask = self.front.translator.ask(words)
             except BadCommandError as error:
-                slot.put(b"-ERR %s\r\n" % str(error).encode())
+                self._bad(slot, str(error))
                 return
+            self.errors = min(self.errors, FREE_ERRORS)
             self.front.post(Taken(slot, ask))
         elif name == b"PING":
             slot.put(*(resp2.bulk(words[1]) if len(words) > 1 else (b"+PONG\r\n",)))
@@ -176,7 +168,21 @@
             self.closing = True
             slot.put(b"+OK\r\n")
         else:
-            slot.put(b"-ERR unknown command\r\n")
+            self._bad(slot, "unknown command")
+
+    def _bad(self, slot: Slot, reason: str) -> None:
+        self.errors += 1
+        slot.put(b"-ERR %s\r\n" % reason.encode())
+        if self.errors > MOST_ERRORS:
+            self.fail("too many errors")
+
+    def _slowness(self) -> float:
+        """Seconds to leave a client unread that does little but err, or repeat what was turned away."""
+        over = self.errors - FREE_ERRORS
+        return min(SLOWEST_S, SLOW_S * 2.0 ** min(over, 10)) if over > 0 else 0.0
+
+    async def _rest(self, seconds: float) -> None:
+        await pause(self.front.deadlines, self.front.clock, seconds)
 
     def flush(self) -> None:
         """Write the answers whose turn has come."""
@@ -194,13 +200,14 @@
         if done:
             self._written()
         else:
-            self.writing = True
+            self.writing, self.moved_at = True, self.front.clock()
             self.front.group.start_soon(self._write)
 
     async def _write(self) -> None:
         try:
             while not self.outbox.flush(self.sock):
                 await anyio.wait_writable(self.sock)
+                self.moved_at = self.front.clock()
                 self._make_room()
             self.writing = False
             self._written()
@@ -208,10 +215,9 @@
             self.end()
 
     def _written(self) -> None:
+        self.used_at = self.front.clock()
         self._make_room()
-        if self.closing and not self.slots:
-            self.end()
-        elif self.front.stopping:
+        if self.front.stopping:
             self.close_if_idle()
 
     def _make_room(self) -> None:
@@ -224,14 +230,59 @@
 
     def close_if_idle(self) -> None:
         """Close between requests; one that is already here is read first."""
-        if not self.ended and self.is_idle() and nothing_to_read(self.sock):
+        if not self.ended and (self.lingering or (self.is_idle() and nothing_to_read(self.sock))):
+            self.end()
+
+    def _check(self) -> None:
+        """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
+        front, now = self.front, self.front.clock()
+        patience = IDLE_NS if self.spoke and not self.half_read and not front.is_crowded() else SPEAK_NS
+        if self.ended:
+            return
+        if self.outbox.size and now - self.moved_at > STUCK_NS:
             self.end()
+            return
+        if self.closing or now - self.used_at < patience:
+            pass
+        elif self.half_read:
+            # Behind what is open on it, if anything: those answers come first.
+            self.fail("the command was not whole in time")
+        else:
+            self.close_if_idle()
+        if not self.ended:
+            self.mark = front.deadlines.add(max(now + SPEAK_NS // 8, self.used_at + SPEAK_NS), self._check)
+
+    async def _linger(self) -> None:
+        """Drop what still comes until the client has had its answers: a close would reset them away."""
+        while not self.ended and (self.slots or self.outbox.size):
+            await self._rest(SLOW_S)
+        if self.ended:
+            return
+        self.lingering, left, inbox = True, LINGER_BYTES, self.inbox
+        self.sock.shutdown(socket.SHUT_WR)
+        mark = self.front.deadlines.add(self.front.clock() + LINGER_NS, self.end)
+        try:
+            while left > 0:
+                inbox.start = inbox.end = 0
+                try:
+                    got = inbox.receive(self.sock)
+                except BlockingIOError:
+                    await anyio.wait_readable(self.sock)
+                    continue
+                if not got:
+                    return
+                left -= got
+            await self._rest(LINGER_NS / 1e9)
+        finally:
+            self.front.deadlines.discard(mark)
 
     def end(self) -> None:
         """Close, and tell of requests that nobody waits for any more."""
         if self.ended:
             return
         self.ended = True
+        self.front.deadlines.discard(self.mark)
+        self.front.buffers -= self.buffered
         close(self.sock)
         self.front.clients.discard(self)
         if self.room:
@@ -245,33 +296,34 @@
 class RespFront(AcceptingFront[Client]):
     """The listening side of the platform's protocol."""
 
-    def __init__(
-        self,
-        group: anyio.abc.TaskGroup,
-        post: Callable[[Event], None],
-        deadlines: Deadlines,
-        clock: Clock,
-        config: Config,
-    ) -> None:
-        super().__init__(group, post, deadlines, clock, config)
+    buffers = 0  # bytes of all inboxes
+    buffers_most = 1 << 20
 
     def configure(self, config: Config) -> None:
         """Go by these names and limits."""
         super().configure(config)
-        self.translator = Translator(config.class_names, config.plan_names)
+        self.translator = Translator(config)
+        self.buffers_most = config.spare_bytes // BUFFER_PART
 
     def new_client(self, sock: socket.socket) -> Client:
         """Make a client of an accepted socket."""
         return Client(self, sock)
 
-    def make_room(self) -> bool:
-        """Close the client that has been idle longest."""
-        idle = [client for client in self.clients if client.is_idle()]
-        for client in sorted(idle, key=lambda c: c.used_at):
-            client.close_if_idle()
-            if client.ended:
-                return True
-        return False
+    def relieve(self) -> None:
+        """Guard memory against many half commands: the one that has waited longest goes first."""
+        while self.buffers > self.buffers_most:
+            halves = [c for c in self.clients if c.half_read and not c.closing]
+            if not halves:
+                return
+            longest = min(halves, key=lambda c: c.used_at)
+            longest.fail("no room for this command")
+            if not longest.slots:
+                longest.end()
+
+    def spared(self) -> list[Client]:
+        """Those whose close costs nobody an answer, the least useful first."""
+        idle = [c for c in self.clients if c.lingering or (not c.slots and not c.outbox.size)]
+        return sorted(idle, key=lambda c: (not c.lingering, c.spoke and not c.errors, c.used_at))
 
     def stop(self) -> None:
         """Close clients between requests, now and as their answers go out."""
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -163,14 +163,12 @@
         if stream:
             stream.end(True)
         ended = Ended(attempt, self.not_ran or Ending.OK, stream)
-        if self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE:
+        # Guards the next request: what came behind this answer may not answer that one.
+        reusable = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
+        reusable = reusable and not self.protocol.trailing_data[0]
+        if reusable:
             self.protocol.start_next_cycle()
-            self.finished(ended)
-        else:
-            self.link.out.pop(attempt, None)
-            self.order = None
-            self.link.post(ended)
-            self.end()
+        self.finished(ended, reusable)
 
     def end(self) -> None:
         """Close; a reader of the answer learns that it is not whole."""
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -3,6 +3,7 @@
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 import anyio.abc
@@ -18,6 +19,8 @@
 log = structlog.get_logger()
 IDLE_PART = 0.7  # of the time after which a node closes an idle connection: ours goes well before
 REPLY_LIMIT = 80 << 10
+REST_NS = 3_000_000  # a second copy of an answer, or noise behind it, comes by then
+WHOLE_NS = 150_000_000  # an answer that has begun, 64 KiB at most, is whole by then or never
 
 
 @dataclass(frozen=True, slots=True)
@@ -62,6 +65,7 @@
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.out: dict[int, Connection] = {}
         self.open: set[Connection] = set()
+        self.waiting: dict[int, Mark] = {}  # attempts that wait for a connection to have rested
 
     def configure(self, config: Config) -> None:
         """Go by these times and by this part of the descriptors."""
@@ -69,18 +73,25 @@
         self.idle_ns = int(config.conn_idle_ns * IDLE_PART)
         self.most = config.max_sockets // self.part
 
-    def dispatch(self, order: Dispatch) -> None:
+    def dispatch(self, order: Dispatch, patient: bool = True) -> None:
         """Write an attempt on a free connection, or on a new one."""
+        self.waiting.pop(order.attempt, None)
         place = (order.node.uid, self.endpoint(order.node))
-        pool = self.idle.get(place, [])
-        while pool:
-            connection = pool.pop()
-            self.deadlines.discard(connection.mark)
+        rested = self.clock() - REST_NS
+        # The one used last, so that the others grow old, but none that may still get what nobody asked for.
+        for connection in reversed(list(self.idle.get(place, ()))):
+            if connection.idle_since > rested:
+                continue
             # Guards against a node that died while the connection was idle: such a write would be a reset.
             if is_quiet(connection.sock):
+                self._unpool(connection)
                 connection.take(order)
                 return
             connection.end()
+        if patient and (resting := self.idle.get(place)):  # ready sooner than a new one, at less cost there
+            at = resting[0].idle_since + REST_NS + 1
+            self.waiting[order.attempt] = self.deadlines.add(at, partial(self.dispatch, order, False))
+            return
         if len(self.open) >= self.most and not self._make_room():
             self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
             return
@@ -94,6 +105,15 @@
         connection.take(order)
         self.group.start_soon(connection.run)
 
+    def _unpool(self, connection: "Connection") -> None:
+        """Take a connection out of its pool, and an empty pool out of the table."""
+        self.deadlines.discard(connection.mark)
+        pool = self.idle.get(connection.place, [])
+        if connection in pool:
+            pool.remove(connection)
+        if not pool:
+            self.idle.pop(connection.place, None)
+
     def _make_room(self) -> bool:
         for pool in self.idle.values():
             if pool:
@@ -103,6 +123,7 @@
 
     def abandon(self, attempt: int) -> None:
         """Close the connection of an attempt, now."""
+        self.deadlines.discard(self.waiting.pop(attempt, None))
         connection = self.out.pop(attempt, None)
         if connection is not None:
             connection.order = None
@@ -119,6 +140,8 @@
 
     def close(self) -> None:
         """Close everything."""
+        for mark in self.waiting.values():
+            self.deadlines.discard(mark)
         for connection in list(self.open):
             connection.order = None
             connection.end()
@@ -136,6 +159,7 @@
         self.order: Dispatch | None = None
         self.connected = self.ended = self.writing = False
         self.mark: Mark | None = None
+        self.idle_since = self.order_at = self.begun_at = 0
 
     def parts(self, order: Dispatch) -> list[bytes]:
         """Give an attempt as parts for a gathered write."""
@@ -155,7 +179,8 @@
 
     def take(self, order: Dispatch) -> None:
         """Carry an attempt."""
-        self.order = order
+        self.order, self.order_at = order, self.link.clock()
+        self.begun_at = self.order_at - 1
         self.link.out[order.attempt] = self
         try:
             self.outbox.push(*self.parts(order))
@@ -210,27 +235,27 @@
         finally:
             self.end()
 
-    def finished(self, ended: Ended) -> None:
-        """Post an attempt's end and wait idle for the next one."""
-        self.order = None
-        self.link.out.pop(ended.attempt, None)
-        self.link.idle.setdefault(self.place, []).append(self)
-        self.mark = self.link.deadlines.add(self.link.clock() + self.link.idle_ns, self.end)
-        self.link.post(ended)
+    def finished(self, ended: Ended, reusable: bool = True) -> None:
+        """Post an attempt's end; the connection waits for the next one, or closes."""
+        self.order, link = None, self.link
+        link.out.pop(ended.attempt, None)
+        link.deadlines.discard(self.mark)
+        if reusable:
+            self.idle_since = link.clock()
+            link.idle.setdefault(self.place, []).append(self)
+            self.mark = link.deadlines.add(self.idle_since + link.idle_ns, self.end)
+        else:
+            self.end()
+        link.post(ended)
 
     def end(self) -> None:
         """Close, and tell of the attempt on it."""
         if self.ended:
             return
         self.ended = True
-        self.link.deadlines.discard(self.mark)
+        self.link._unpool(self)
         close(self.sock)
         self.link.open.discard(self)
-        pool = self.link.idle.get(self.place, [])
-        if self in pool:
-            pool.remove(self)
-            if not pool:
-                del self.link.idle[self.place]
         order, self.order = self.order, None
         if order is not None:
             self.link.out.pop(order.attempt, None)
@@ -247,27 +272,29 @@
         return payload.parts(order.wait_ns)
 
     async def read(self) -> None:
-        """Read a reply once it is whole."""
-        inbox = self.inbox
-        piece = resp2.parse(inbox.data, inbox.start, inbox.end)
+        """Read a reply once it is whole; the first whole one stands, whatever comes behind it."""
+        inbox, link = self.inbox, self.link
+        if self.order is None:
+            raise resp2.RespError("a reply that nothing asked for")
+        piece = resp2.parse_reply(inbox.data, inbox.start, inbox.end)
         if piece is None:
+            if self.begun_at < self.order_at:
+                # Guards the request's time: a reply that stops half-way would be waited for to its end.
+                self.begun_at = link.clock()
+                self.mark = link.deadlines.add(self.begun_at + WHOLE_NS, self.end)
             return
-        reply, inbox.start = piece
+        reply, inbox.start, clean = piece
+        ended = outcome(self.order.attempt, reply)
+        clean = clean and inbox.start == inbox.end
+        inbox.start = inbox.end
         inbox.shrink()
-        if self.order is None or inbox.start != inbox.end:
-            raise resp2.RespError("a reply that nothing asked for")
-        self.finished(outcome(self.order.attempt, reply))
+        self.finished(ended, clean)
 
 
-def outcome(attempt: int, reply: resp2.Value) -> Ended:
+def outcome(attempt: int, reply: resp2.Reply) -> Ended:
     """Read a node's reply."""
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
-        note = reply[1] if len(reply) > 1 else None
-        used, cost = resp2.usage(note if isinstance(note, bytes) else None)
-        return Ended(attempt, Ending.OK, reply[0], used, cost)
-    if isinstance(reply, resp2.Line) and reply.mark == b"-"[0]:
-        if reply.text.split(b" ")[0] == b"BUSY":
-            return Ended(attempt, Ending.FULL)
-        used, cost = resp2.usage(reply.text.rpartition(b" ")[2])
-        return Ended(attempt, Ending.ERROR, None, used, cost)
-    return Ended(attempt, Ending.ERROR)
+    used, cost = resp2.usage(reply.usage)
+    if reply.error is None:
+        return Ended(attempt, Ending.OK, reply.value, used, cost)
+    ending = Ending.FULL if reply.error == b"BUSY" else Ending.ERROR
+    return Ended(attempt, ending, None, used, cost)
--- a/runloft/net/resp2.py
+++ b/runloft/net/resp2.py
@@ -92,6 +92,57 @@
     return texts, piece[1]
 
 
+@dataclass(frozen=True, slots=True)
+class Reply:
+    """A storage node's reply: a value, or the word of an error, and figures on use if they can be read."""
+
+    value: bytes = b""
+    error: bytes | None = None
+    usage: bytes | None = None
+
+
+def parse_reply(data: bytearray, start: int, end: int) -> tuple[Reply, int, bool] | None:
+    """Read one reply; None while it is not whole; RespError where it is not one of a storage node's.
+
+    What stands behind the value spoils only itself: the flag tells whether all of it could be read.
+    """
+    if start >= end:
+        return None
+    if data[start] == b"-"[0]:
+        piece = parse(data, start, end)
+        if piece is None:
+            return None
+        assert isinstance(piece[0], Line)
+        word, _, rest = piece[0].text.partition(b" ")
+        if not word.isalpha() or not word.isupper():
+            raise RespError("an error without its word")
+        return Reply(error=word, usage=rest.rpartition(b" ")[2]), piece[1], word in (b"BUSY", b"ERR")
+    if not b"*3\r\n".startswith(bytes(data[start : min(end, start + 4)])):
+        raise RespError("not an array of three")
+    if end <= start + 4:
+        return None
+    if data[start + 4] != b"$"[0]:
+        raise RespError("the value is no bulk string")
+    first = parse(data, start + 4, end)
+    if first is None:
+        return None
+    value, at = first
+    if not isinstance(value, bytes):
+        raise RespError("the value is null")
+    notes: list[Value] = []
+    try:
+        while len(notes) < 2:
+            piece = parse(data, at, end, depth=1)
+            if piece is None:
+                return None
+            notes.append(piece[0])
+            at = piece[1]
+    except RespError:
+        return Reply(value), end, False
+    usage = notes[0] if isinstance(notes[0], bytes) else None
+    return Reply(value, usage=usage), at, True
+
+
 def bulk(value: bytes) -> tuple[bytes, bytes, bytes]:
     """Give a bulk string as parts for a gathered write."""
     return b"$%d\r\n" % len(value), value, b"\r\n"
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -14,7 +14,7 @@
     """A bounded receive buffer that is parsed in place: ``data[start:end]`` is what is unread."""
 
     def __init__(self, limit: int) -> None:
-        self.limit, self.data, self.start, self.end = limit, bytearray(ABOVE_HEAD), 0, 0
+        self.limit, self.data, self.start, self.end = limit, bytearray(), 0, 0
 
     def receive(self, sock: socket.socket) -> int:
         """Read once; 0 at the end of the stream.  BlockingIOError: nothing is there."""
@@ -27,16 +27,16 @@
         if self.end == len(self.data):
             if self.end >= self.limit:
                 raise BufferError("a message is longer than the buffer may be")
-            self.data.extend(bytes(min(len(self.data) * 3, self.limit - self.end)))
+            self.data.extend(bytes(min(max(ABOVE_HEAD, len(self.data) * 3), self.limit - self.end)))
         with memoryview(self.data) as view:
             count = sock.recv_into(view[self.end :])
         self.end += count
         return count
 
     def shrink(self) -> None:
-        """Give back the memory of a large message once it is read."""
-        if self.start == self.end and len(self.data) > 4 * ABOVE_HEAD:
-            self.data, self.start, self.end = bytearray(ABOVE_HEAD), 0, 0
+        """Give back the memory once all is read: most connections rest most of the time."""
+        if self.start == self.end and self.data:
+            self.data, self.start, self.end = bytearray(), 0, 0
 
 
 class Outbox:
--- a/tests/test_exchanges.py
+++ b/tests/test_exchanges.py
@@ -2,6 +2,7 @@
 
 A file holds one exchange, a step a line; the text after a mark stands for itself and CRLF:
 ``> `` the client sends, ``< `` the client gets, ``N> `` a storage node gets, ``N< `` it sends,
+``>$ `` and ``N>$ `` are a command of the words that follow, as an array of bulk strings;
 ``<|`` and ``N>|`` a close is seen, ``|>`` and ``N<|`` a side closes.  ``*`` in what is got stands for
 anything.  ``#`` is a comment.  Files named http-* speak to the object front, whose shared store knows
 one object.
@@ -13,7 +14,8 @@
 
 import pytest
 
-from tests.standins import Discovery, Program, Redis, config, entry
+from runloft.net.resp2 import command
+from tests.standins import Discovery, Program, Redis, config, entry, words_of
 
 FILES = sorted((Path(__file__).parent / "exchanges").glob("*.txt"))
 
@@ -42,6 +44,15 @@
             continue
         if mark == ">":
             client.sock.sendall(rest.encode() + b"\r\n")
+        elif mark == ">$":
+            words = rest.encode().split()
+            client.sock.sendall(b"".join(command(*words)))
+        elif mark == "N>$":
+            node = node or Side(listener.accept()[0])
+            got = [word.decode() for word in words_of(node.lines)]
+            wanted = rest.split()
+            fits = len(got) == len(wanted) and all(map(fnmatch.fnmatchcase, got, map(escaped, wanted)))
+            assert fits, f"line {number}: {got!r}, wanted {wanted!r}"
         elif mark == "|>":
             client.close()
         elif mark in ("<", "N>"):
