--- a/runloft/adapter.py
+++ b/runloft/adapter.py
@@ -93,7 +93,7 @@
 
 
 def action_to_wire(instance: int, action: contract.Action) -> bytes:
-    """Translate one action to its record."""
+    """Translate one action to its record; the simulator is not told what an instance forgets."""
     match action:
         case contract.Send(id_, node, timeout_ns):
             return wire.encode_action(wire.SEND, instance, id_, node, timeout_ns)
@@ -109,6 +109,8 @@
             return wire.encode_action(wire.PROBE, instance, node)
         case contract.Subscribe():
             return wire.encode_action(wire.WATCH, instance, 1)
+        case contract.Forget():
+            return b""
 
 
 class Adapter:
@@ -146,7 +148,8 @@
         for instance, events in todo.items():
             try:
                 actions = self._schedulers[instance].handle(clock, events)
-                out.extend(action_to_wire(instance, action) for action in actions)
+                told = (action for action in actions if not isinstance(action, contract.Forget))
+                out.extend(action_to_wire(instance, action) for action in told)
             except Exception as error:
                 faults[instance] = f"{type(error).__name__}: {error}"
         tail = b""
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -63,6 +63,7 @@
     number: int
     request: Open
     node: int
+    news: NodeNews
     sent_at: int
     due: Mark | None = None
     told: bool = False  # its outcome is out already
@@ -92,7 +93,7 @@
         self.ids: set[tuple[str, bytes]] = set()  # by wire: of open requests, and of those just over
         self._used: deque[tuple[int, tuple[str, bytes]]] = deque()
         self.use: dict[str, list[int]] = {}  # by wire: requests open, bytes held
-        self._request_ids, self._attempt_ids = count(1), count(1)
+        self._request_ids, self._attempt_ids, self._node_ids = count(1), count(1), count(1)
         self._next_turn: list[contract.Event] = []
 
     def next_at(self, now: int) -> int | None:
@@ -190,7 +191,7 @@
         attempt = self.attempts.get(number)
         if attempt is None or attempt.request.over:
             return
-        request, news = attempt.request, self.nodes[attempt.node]
+        request, news = attempt.request, attempt.news
         self.deadlines.discard(attempt.due)
         request.streaming, attempt.due = True, None
         told.append(contract.StreamStarted(request.id, self._index(attempt), attempt.node))
@@ -213,7 +214,7 @@
         attempt = self.attempts.get(event.attempt)
         if attempt is None:
             return  # late news of what has ended
-        request, news = attempt.request, self.nodes[attempt.node]
+        request, news = attempt.request, attempt.news
         request.last = event.ending
         if not request.over and event.ending is Ending.OK:
             self._over(request)
@@ -263,7 +264,9 @@
     def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
         entries = []
         for news in nodes:
-            number = self.node_numbers.setdefault(news.uid, len(self.node_numbers) + 1)
+            number = self.node_numbers.get(news.uid)
+            if number is None:
+                number = self.node_numbers[news.uid] = next(self._node_ids)
             self.nodes[number] = news
             entries.append(
                 contract.NodeEntry(number, news.shard, news.state, news.started_ns, news.zone, news.rating)
@@ -289,6 +292,10 @@
                     self._tidy(request)
             case contract.Timer(at_ns, token):
                 self.deadlines.add(max(at_ns, now + 1), contract.TimerFired(token))
+            case contract.Forget(node):
+                news = self.nodes.pop(node, None)
+                if news is not None:
+                    del self.node_numbers[news.uid]
             case contract.Probe() | contract.Subscribe():
                 pass  # nodes may not be probed here, and the watch is always open
 
@@ -307,7 +314,7 @@
             return
         wait = request.deadline - now
         wait = min(timeout_ns, wait) if timeout_ns else wait
-        attempt = Attempt(next(self._attempt_ids), request, node, now)
+        attempt = Attempt(next(self._attempt_ids), request, node, news, now)
         attempt.due = self.deadlines.add(now + wait, AttemptDue(attempt.number))
         self.attempts[attempt.number] = attempt
         request.out[index] = attempt.number
--- a/runloft/decisions/contract.py
+++ b/runloft/decisions/contract.py
@@ -271,4 +271,11 @@
     """Ask to be told of changes to the node list from now on."""
 
 
-Action = Send | Refuse | Fail | Cancel | Probe | Timer | Subscribe
+@dataclass(frozen=True, slots=True)
+class Forget:
+    """A node that is gone is needed no more: should it come back, it comes as a new one."""
+
+    node: int
+
+
+Action = Send | Refuse | Fail | Cancel | Probe | Timer | Subscribe | Forget
--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -10,7 +10,7 @@
 from dataclasses import replace
 
 from runloft.decisions.contract import (
-    Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Group, ListKind, NewSettings, NodeEntry,
+    Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Forget, Group, ListKind, NewSettings, NodeEntry,
     NodeList, NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted, Subscribe,
     Timer, TimerFired,
 )  # fmt: skip
@@ -40,6 +40,7 @@
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
 UNSETTLED = (Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
+KEEP = 60 * SECOND  # a node that is gone is remembered for so long
 WAKE, SUBSCRIBE = 1 << 60, 1 << 61  # timer tokens; a request's own is its id, far below
 
 
@@ -99,7 +100,7 @@
         self.sent_at = self.unanswered = 0
         self.saved, self.saved_from, self.saved_at = 0.0, -1, 0  # while cold: units below a whole request
         self.served, self.usual = SlidingSum(settings.cold_ns), 0.0  # units served; a second, when warm
-        self.refused_at = 0  # its last connect failure: it may be starting
+        self.refused_at = self.gone_at = 0  # its last connect failure: it may be starting; since when gone
         self.recent = SlidingSum(settings.fall_ns)
 
     def usable(self) -> bool:
@@ -245,7 +246,7 @@
                     self._settle(settings)
                 case StreamStarted(id_) if id_ in self.tickets:
                     self.tickets[id_].streaming = True
-        for shard, held in [(shard, held) for shard, held in self.held.items() if held]:
+        for shard, held in list(self.held.items()):
             node, new = self.shards.get(shard), [t for t in held if t.request.shard is None]
             fit = not new or (node and node.usable() and not node.suspect(now))
             for ticket in new if not fit else ():  # new objects leave a node that is silent or unfit
@@ -253,7 +254,9 @@
                 self._hold(ticket, now)
             if node and node.usable():
                 self._dispatch(held, node, now)
-        if self.wake_at <= now and any(self.held.values()):
+            if not held:
+                self.held.pop(shard, None)
+        if self.wake_at <= now and self.held:
             self.wake_at = now + max(self.settings.tick_ns, int(WAKE_PART * self.aim))
             self.actions.append(Timer(self.wake_at, WAKE))
         actions, self.actions = self.actions, []
@@ -502,6 +505,9 @@
             self._finish(ticket, now)
             return
         self._hold(ticket, now)
+        if not ticket.reached and now >= ticket.hold_until:  # its timer came while this was connecting
+            self._give_up(ticket, now)
+            return
         node = self.shards.get(ticket.shard)
         late = node and outcome.ending is Ending.TIMEOUT and self._price(node, now)
         if now + self.settings.tick_ns >= ticket.deadline or late or not self._may_repeat(ticket, node, now):
@@ -556,5 +562,13 @@
                 node.price.value, node.price.at = 0.0, now
                 node.quiet_since, node.unanswered = None, len(node.out)
             node.entry = entry
+        needed = {ticket.doubt_node for ticket in self.tickets.values()}
+        needed.update(*(ticket.out.values() for ticket in self.tickets.values()))
+        for number, node in list(self.nodes.items()):
+            node.gone_at = (node.gone_at or now) if node.entry.state is NodeState.GONE else 0
+            # Guards memory: most go for good; one whose process restarts comes back, cold, within that time.
+            if node.gone_at and now >= node.gone_at + KEEP and not node.out and number not in needed:
+                del self.nodes[number]
+                self.actions.append(Forget(number))
         rank = sorted(self.nodes.values(), key=lambda n: (n.usable(), n.entry.started_ns))
         self.shards = {node.entry.shard: node for node in rank}  # of several, the newest fit one
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -22,8 +22,8 @@
 UNWRITTEN = 512 << 10  # bytes of answers that a client has not read; then its commands wait
 COMMAND_LIMIT = 72 << 10
 BUFFER_PART = 8  # of the spare memory: commands that are half read, of all clients together
-SPEAK_NS = 2_000_000_000  # a command is whole by then, counted from connecting or the last whole one
-IDLE_NS = 15_000_000_000  # a connection may rest so long between requests; in a crowd, SPEAK_NS
+SPEAK_NS = 2_600_000_000  # a command is whole by then, counted from connecting or the last whole one
+IDLE_NS, CROWD_NS = 15_000_000_000, 2_000_000_000  # a rest between requests; and where there are many
 STUCK_NS = 5_000_000_000  # a client that reads nothing of its answers for so long is gone
 LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last error
 FREE_ERRORS, MOST_ERRORS = 4, 24  # in a row on one connection: before it is slowed down, and closed
@@ -236,7 +236,9 @@
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
         front, now = self.front, self.front.clock()
-        patience = IDLE_NS if self.spoke and not self.half_read and not front.is_crowded() else SPEAK_NS
+        patience = SPEAK_NS
+        if self.spoke and not self.half_read:
+            patience = CROWD_NS if front.is_crowded() else IDLE_NS
         if self.ended:
             return
         if self.outbox.size and now - self.moved_at > STUCK_NS:
@@ -250,7 +252,8 @@
         else:
             self.close_if_idle()
         if not self.ended:
-            self.mark = front.deadlines.add(max(now + SPEAK_NS // 8, self.used_at + SPEAK_NS), self._check)
+            due = min(self.used_at + patience, now + CROWD_NS)
+            self.mark = front.deadlines.add(due if due > now else now + CROWD_NS // 8, self._check)
 
     async def _linger(self) -> None:
         """Drop what still comes until the client has had its answers: a close would reset them away."""
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -20,13 +20,25 @@
     Listed,
     NodeNews,
     Refused,
+    Rejected,
     Served,
     Taken,
 )
 from runloft.core.reducer import Core
-from runloft.decisions.contract import Cancel, Ending, Fail, ListKind, NodeState, Outcome, Refuse, Send, Timer
+from runloft.decisions.contract import (
+    Cancel,
+    Ending,
+    Fail,
+    Forget,
+    ListKind,
+    NodeState,
+    Outcome,
+    Refuse,
+    Send,
+    Timer,
+)
 from runloft.net.runner import Clock, Runner
-from tests.driver import MS, SECOND, klass, settings
+from tests.driver import MS, SECOND, Host, gone, klass, settings
 
 NODE = NodeNews("s-1", "127.0.0.1:1", 0)
 
@@ -190,3 +202,56 @@
         answered += [e.asker for e in turns.step(after=1) if isinstance(e, Answer)]
     assert len(answered) == len(set(answered)) and set(answered) <= set(askers)
     assert not turns.core.requests and not turns.core.attempts
+
+
+def test_what_gone_nodes_and_their_requests_leave_behind_is_forgotten():
+    turns = Turns(scripted=False)
+    core, module = turns.core, turns.core.scheduler
+
+    def news(number, state=NodeState.READY):
+        return Listed(ListKind.DELTA, (NodeNews(f"n-{number}", f"127.0.0.1:{number}", number % 9, state),))
+
+    sent = 0
+    for number in range(3000):
+        turns.step(news(number), after=20)
+        for effect in turns.take(shard=number % 9, id=b"%d" % number)[1]:
+            turns.step(Ended(effect.attempt, Ending.OK, b"v"), after=1)
+            sent += 1
+        turns.take(shard=20_000 + number)  # of no node
+        turns.step(news(number, NodeState.GONE))
+    assert sent == 3000 and len(core.nodes) < 3000  # a minute's worth
+    turns.step(news(0, NodeState.GONE), after=70_000)  # one that is forgotten, and tells so again
+    turns.step(news(0, NodeState.GONE), after=70_000)
+    turns.step(after=5000)
+    assert len(core.nodes) == len(core.node_numbers) == len(module.nodes) == 1  # the one of Turns
+    assert not any((core.requests, core.attempts, core.by_asker, core.ids))
+    assert not any((module.tickets, module.held, module.lines)) and not len(turns.deadlines)
+
+
+def test_a_node_that_an_open_attempt_is_at_is_not_forgotten():
+    host = Host(settings(klass(deadline=300_000)))
+    host.ask()
+    for _ in range(3):
+        host.wait(61_000)
+        assert Forget(10) not in host.tell(gone(10))
+    host.end(1)
+    host.wait(61_000)
+    assert Forget(10) in host.tell(gone(10))
+
+
+def test_what_could_not_connect_until_half_its_time_is_given_up_at_once():
+    host = Host(settings(klass(deadline=1000)))
+    id_ = host.ask()
+    host.wait(480)
+    assert any(isinstance(a, Refuse) for a in host.end(id_, Ending.CONNECT_FAILED))
+
+
+@pytest.mark.parametrize("after, taken", [(0, False), (1000, False), (2100, True)])
+def test_an_id_is_taken_until_its_request_is_over_and_a_while_longer(after, taken):
+    turns = Turns()
+    turns.take([Send(1, 1)], id=b"same")
+    rejected = Rejected("this id is another request's")
+    assert turns.take(id=b"same")[1][0].reply == rejected
+    turns.step(Ended(1, Ending.OK, b"v"))
+    turns.step(after=after)
+    assert (turns.take(id=b"same")[1] == []) is taken
