Count only a node found down for a while as starting; look at shards when touched

A line each second with what the module believed showed 4 to 7 of 8 nodes as cold, without a restart among them. Checked: rates, latencies and units out were right; a profile put 62 in 100 of the core's time into _dispatch and refill, which went over every held request at every event. At fault: Node.ended took each connection that broke off for a start (refused_at) and held the node to a cold node's budget for nine seconds; Scheduler.handle looked at all shards always, _barred refilled stores for limits that no plan has. Now connecting must have failed for half a second with nothing served. The object front: times for heads and bodies (408), targets and numbers that int() or urlsplit fall over, doubled headers, the least useful connections closed first; a fault in one client ends that client alone.

--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -32,7 +32,8 @@
 PRICE_SPREAD, PRICE_JITTER = 0.1, 0.5  # price: share of an answer in all nodes' mean; spread over requests
 PRICE_FADE = 15  # price: tightest aims in which a node's falls to the other nodes' by 1/e, and theirs to none
 COLD_PART = 0.5  # part of a cold node's budget that is used: its true speed is not told
-GUESS_PART = 0.5  # part of the warm-up for which a refused connection counts as a start
+GUESS_PART = 0.5  # part of the warm-up for which refused connections count as a start
+DOWN = SECOND // 2  # so long connecting must have failed, and nothing served, for that guess
 HOLD_PART = 0.45  # of its client's time: a request that has not left by then is given up
 GOLDEN = 0.6180339887  # spreads first turns at a cold node evenly over host numbers
 MOST_VOLUMES = 4096  # volumes remembered; beyond it the one that was quiet longest is forgotten
@@ -100,7 +101,7 @@
         self.sent_at = self.unanswered = 0
         self.saved, self.saved_from, self.saved_at = 0.0, -1, 0  # while cold: units below a whole request
         self.served, self.usual = SlidingSum(settings.cold_ns), 0.0  # units served; a second, when warm
-        self.refused_at = self.gone_at = 0  # its last connect failure: it may be starting; since when gone
+        self.down_since = self.refused_at = self.gone_at = 0  # refused_at: when it was last found down
         self.recent = SlidingSum(settings.fall_ns)
 
     def usable(self) -> bool:
@@ -156,10 +157,13 @@
             self.served.add(now, units)
             self.quiet_since, self.unanswered = now if self.out else None, len(self.out)
             self.latency += LATENCY_ALPHA * (latency - self.latency)
+            self.down_since = 0
         elif ending is Ending.TIMEOUT and latency < SILENT_AIMS * self.aim:
             self.unanswered -= 1  # its client had little time: no silence yet
         elif ending is Ending.CONNECT_FAILED:
-            self.refused_at = now
+            # Guards nodes in use: connections break off here and there, but a process that starts was down.
+            self.down_since = self.down_since or now
+            self.refused_at = now if now >= self.down_since + DOWN else self.refused_at
 
 
 class VolumeStore:
@@ -201,6 +205,7 @@
         self.shards: dict[int | None, Node] = {}  # shard -> the node that serves it
         self.tickets: dict[int, Ticket] = {}
         self.held: dict[int | None, list[Ticket]] = {}  # by shard; None: no node to place it on
+        self.touched: dict[int | None, bool] = {}  # shards where something has happened in this turn
         self.volumes: dict[int, VolumeStore] = {}
         self.most_left: dict[int, int] = {}  # by class: the longest wait that a try brought
         self.mean_price = Price(SECOND)
@@ -213,6 +218,7 @@
     def _settle(self, settings: Settings) -> None:
         """Go by these settings from now on; what is open and what was learned stay."""
         self.settings, self.many = settings, settings.hosts > FEW_HOSTS
+        self.limited = any(plan.limit for plan in settings.plans)
         self.aim = min((c.aim_ns for c in settings.classes), default=SECOND)
         self.top_worth = max((c.worth for c in settings.classes), default=1.0)
         self.top_worth *= max((p.price for p in settings.plans), default=1.0)
@@ -246,7 +252,9 @@
                     self._settle(settings)
                 case StreamStarted(id_) if id_ in self.tickets:
                     self.tickets[id_].streaming = True
-        for shard, held in list(self.held.items()):
+        # What only time changes is looked at when the host wakes, not whenever something happens elsewhere.
+        for shard in list(self.held if now >= self.wake_at else self.touched):
+            held = self.held.get(shard, [])
             node, new = self.shards.get(shard), [t for t in held if t.request.shard is None]
             fit = not new or (node and node.usable() and not node.suspect(now))
             for ticket in new if not fit else ():  # new objects leave a node that is silent or unfit
@@ -256,6 +264,7 @@
                 self._dispatch(held, node, now)
             if not held:
                 self.held.pop(shard, None)
+        self.touched.clear()
         if self.wake_at <= now and self.held:
             self.wake_at = now + max(self.settings.tick_ns, int(WAKE_PART * self.aim))
             self.actions.append(Timer(self.wake_at, WAKE))
@@ -288,6 +297,7 @@
         if ticket.request.shard is None:
             ticket.shard = self._least_forecast(ticket, now)
         self.held.setdefault(ticket.shard, []).append(ticket)
+        self.touched[ticket.shard] = True
 
     def _rate(self, node: Node, now: int) -> float:
         """Its smoothed rate, or the others' mean where it is unheard; silence pulls it down."""
@@ -326,7 +336,8 @@
             if len(self.volumes) >= MOST_VOLUMES:  # guards memory
                 del self.volumes[min(self.volumes, key=lambda v: self.volumes[v].at)]
             self.volumes[request.volume] = store
-        store.refill(now)
+        if store.at != now:
+            store.refill(now)
         return store
 
     def _worth(self, ticket: Ticket, node: Node, rate: float, now: int) -> float:
@@ -394,6 +405,8 @@
 
     def _barred(self, ticket: Ticket, node: Node | None, now: int) -> float:
         """Give the seconds until its volume's limit and the node's price, as it fades, let it leave."""
+        if not (self.limited or self.many):
+            return 0.0
         limit = 0.0 if ticket.attempts else self._volume(ticket, now).wait(ticket.units)
         price = self._price(node, now) * ticket.luck * self.top_worth if node else 0.0
         if node and price:
@@ -492,6 +505,7 @@
         if ticket is None or sent_to is None:
             return  # late or repeated news of what has ended
         key = (outcome.id, outcome.attempt)
+        self.touched[self.nodes[sent_to].entry.shard] = True
         self.nodes[sent_to].ended(now, key, ticket.units, outcome.ending, outcome.latency_ns)
         if self.many and (outcome.ending is Ending.OK or outcome.latency_ns >= self.aim):
             price, mean = self.nodes[sent_to].price, self.mean_price.now(now)
@@ -571,4 +585,5 @@
                 del self.nodes[number]
                 self.actions.append(Forget(number))
         rank = sorted(self.nodes.values(), key=lambda n: (n.usable(), n.entry.started_ns))
+        self.wake_at = now
         self.shards = {node.entry.shard: node for node in rank}  # of several, the newest fit one
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -116,5 +116,13 @@
             sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             client = self.new_client(sock)
             self.clients.add(client)
-            self.group.start_soon(client.run)
+            self.group.start_soon(self._serve, client)
         return True
+
+    async def _serve(self, client: C) -> None:
+        """Guard the program: a fault that one client's bytes bring to light ends that client alone."""
+        try:
+            await client.run()
+        except Exception:
+            log.exception("client")
+            client.end()
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -20,12 +20,12 @@
 import structlog
 
 from runloft.core.deadlines import Deadlines
-from runloft.core.model import Ask, Event, Failed, Left, Refused, Reply, Served, Taken
+from runloft.core.model import Ask, Event, Failed, Left, Refused, Rejected, Reply, Served, Taken
 from runloft.decisions.contract import Ending
 from runloft.fronts.accepting import AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
 from runloft.net.sockets import close, nothing_to_read
-from runloft.net.timing import Clock, within
+from runloft.net.timing import Clock, pause, within
 from runloft.settings import Config, ObjectSettings
 from runloft.shared_store import Place, SharedStore, StoreDownError
 
@@ -33,8 +33,12 @@
 HEAD_LIMIT = 16 << 10
 PIPELINED_BYTES = 64 << 10  # read ahead while a request is out; more waits in the socket
 BODIES_BYTES = 20 << 20  # request bodies held at once by this front; more wait in their sockets
-IDLE_S, BODY_S = 60.0, 30.0  # a connection may rest so long between requests; a body may take so long
-LINGER_S = 1.0
+HEAD_S = 2.6  # a request's head is whole by then, counted from connecting or from its first byte
+IDLE_S, BODY_S = 15.0, 5.0  # a connection may rest so long between requests; a body may take so long
+WRITE_S = 30.0  # a client that reads nothing of its answer for so long is gone
+LINGER_S, LINGER_BYTES = 0.5, 256 << 10  # what is still read, and dropped, behind an early answer
+FREE_ERRORS, SLOW_S, SLOWEST_S = 4, 0.01, 0.25  # a connection that does little but err is read more slowly
+ONCE = (b"range", b"if-range", b"x-expires-in-ms")  # headers that may stand once at most
 MOST_PART = 10_000
 PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
 HOP_BY_HOP = (b"connection", b"keep-alive", b"transfer-encoding", b"te", b"trailer", b"upgrade", b"date")
@@ -69,7 +73,10 @@
 
 def operation(method: bytes, target: bytes) -> Operation:
     """Read method and target."""
-    url = urlsplit(target.decode("ascii", "replace"))
+    try:
+        url = urlsplit(target.decode("ascii", "replace"))
+    except ValueError:
+        raise Problem(400, "InvalidURI", "the target can't be read") from None
     pieces = url.path.split("/", 4)
     if len(pieces) < 5 or pieces[:2] != ["", "volumes"] or pieces[3] != "objects" or not pieces[4]:
         raise Problem(404, "NoSuchKey", "objects lie at /volumes/{volume}/objects/{key}")
@@ -78,7 +85,7 @@
         raise Problem(400, "KeyTooLongError", "a key holds at most 1024 bytes")
     query = dict(parse_qsl(url.query, keep_blank_values=True))
     upload = query.get("uploadId", "")
-    if "uploadId" in query and not (upload.isalnum() and len(upload) <= 64):
+    if "uploadId" in query and not (upload.isascii() and upload.isalnum() and len(upload) <= 64):
         raise Problem(404, "NoSuchUpload", "there is no such upload")
     names = {b"GET": "parts", b"PUT": "part", b"POST": "complete", b"DELETE": "abort"}
     plain = {b"GET": "get", b"HEAD": "head", b"PUT": "put", b"DELETE": "delete"}
@@ -95,7 +102,7 @@
     part = 0
     if name == "part":
         text = query.get("partNumber", "")
-        part = int(text) if text.isdigit() and len(text) <= 5 else 0
+        part = int(text) if text.isascii() and text.isdecimal() and len(text) <= 5 else 0
         if not 1 <= part <= MOST_PART:
             raise Problem(400, "InvalidArgument", f"partNumber runs from 1 to {MOST_PART}")
     elif "partNumber" in query and name == "put":
@@ -164,6 +171,8 @@
 
 def problem_of(reply: Reply) -> Problem:
     """Translate a final answer that serves nothing."""
+    if isinstance(reply, Rejected):
+        return Problem(400, "InvalidRequest", reply.reason)
     if isinstance(reply, Refused):
         wait, cause = reply.retry_after_ns, reply.cause
     else:
@@ -183,7 +192,8 @@
     def __init__(self, front: "ObjectFront", sock: socket.socket) -> None:
         self.front, self.sock = front, sock
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
-        self.busy = self.ended = self.gone = False
+        self.busy = self.ended = self.gone = self.spoke = False
+        self.errors, self.used_at = 0, front.clock()
         self.method = b""
 
     async def run(self) -> None:
@@ -191,6 +201,9 @@
         try:
             while not self.ended and await self._one():
                 self.protocol.start_next_cycle()
+                over = self.errors - FREE_ERRORS
+                if over > 0:  # guards the other clients against one that repeats what can't be served
+                    await pause(self.front.deadlines, self.front.clock, min(SLOWEST_S, SLOW_S * 2.0**over))
         except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
             log.debug("client connection over", error=repr(error))
         finally:
@@ -216,20 +229,35 @@
                 self.protocol.receive_data(data)
         return event
 
+    async def _head(self) -> h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]:
+        """Wait for a request's head; a trickle buys it no time."""
+        self.method = b""
+        if self.spoke and not self.protocol.trailing_data[0]:
+            with self.front.within(IDLE_S):
+                await anyio.wait_readable(self.sock)
+        try:
+            return await self._event(HEAD_S)
+        except h11.RemoteProtocolError as error:
+            status = error.error_status_hint
+            raise Problem(status, "InvalidRequest", str(error), closes=True) from None
+        except TimeoutError:
+            if not self.protocol.trailing_data[0]:
+                raise
+            raise Problem(408, "RequestTimeout", "the head was not whole in time", closes=True) from None
+
     async def _one(self) -> bool:
         """Serve one request; whether the connection can carry another."""
         held = 0
         try:
-            try:
-                event = await self._event(IDLE_S)
-            except h11.RemoteProtocolError as error:
-                status = error.error_status_hint
-                raise Problem(status, "InvalidRequest", str(error), closes=True) from None
+            event = await self._head()
             if not isinstance(event, h11.Request):
                 return False
-            self.busy, self.method = True, bytes(event.method)
+            self.busy, self.spoke, self.method = True, True, bytes(event.method)
             headers = {bytes(name): bytes(value) for name, value in event.headers}
+            names = [bytes(name) for name, _ in event.headers]
             try:
+                if any(names.count(name) > 1 for name in ONCE):
+                    raise Problem(400, "InvalidRequest", "a header stands twice")
                 asked = operation(bytes(event.method), bytes(event.target))
                 self.front.volume(asked)
                 length = self._length(asked, headers)
@@ -243,13 +271,18 @@
             except TimeoutError:
                 raise Problem(503, "SlowDown", "too many bodies are held", 1_000_000_000, True) from None
             held = length
-            with self.front.within(BODY_S):
-                body = await self._body(length)
+            try:
+                with self.front.within(BODY_S):
+                    body = await self._body(length)
+            except TimeoutError:
+                raise Problem(408, "RequestTimeout", "the body was not whole in time", 0, True) from None
             await self._serve(asked, headers, body)
+            self.errors = 0
         except Problem as problem:
+            self.errors += problem.status in (400, 405, 411, 413)
             await self._tell(problem)
         finally:
-            self.busy = False
+            self.busy, self.used_at = False, self.front.clock()
             if held:
                 self.front.bodies.give(held)
         done = self.protocol.our_state is h11.DONE and self.protocol.their_state is h11.DONE
@@ -399,17 +432,22 @@
     async def _linger(self) -> None:
         """Read and drop what is still coming, for a moment: a close would reset the answer away."""
         self.sock.shutdown(socket.SHUT_WR)
+        left = LINGER_BYTES
         with contextlib.suppress(TimeoutError), self.front.within(LINGER_S):
-            while True:
+            while left > 0:
                 try:
-                    if not self.sock.recv(65536):
-                        return
+                    data = self.sock.recv(65536)
                 except BlockingIOError:
                     await anyio.wait_readable(self.sock)
+                    continue
+                if not data:
+                    return
+                left -= len(data)
+            await anyio.sleep_forever()
 
     async def _write(self, event: h11.Event) -> None:
         parts = [memoryview(p) for p in self.protocol.send_with_data_passthrough(event) or [] if p]
-        with self.front.within(BODY_S):
+        with self.front.within(WRITE_S):
             while parts:
                 try:
                     count = self.sock.sendmsg(parts)
@@ -457,6 +495,10 @@
         """Make a client of an accepted socket."""
         return ObjectClient(self, sock)
 
+    def spared(self) -> list[ObjectClient]:
+        """Those between requests, the ones that never asked for anything first."""
+        return sorted((c for c in self.clients if not c.busy), key=lambda c: (c.spoke, c.used_at))
+
     def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
         """Limit what is inside to so many seconds."""
         return within(self.deadlines, self.clock, seconds)
@@ -502,9 +544,11 @@
         klass = self.settings.classes[asked.name]
         settings = self.config.settings
         deadline = settings.classes[klass].deadline_ns
-        wait = headers.get(b"x-expires-in-ms", b"")
-        if wait.isdigit() and 0 < len(wait) < 10:
-            deadline = max(1_000_000, min(deadline, int(wait) * 1_000_000))
+        wait = headers.get(b"x-expires-in-ms")
+        if wait is not None:
+            if not (wait.isdigit() and len(wait) < 10 and int(wait)):
+                raise Problem(400, "InvalidArgument", "X-Expires-In-Ms takes a whole number of milliseconds")
+            deadline = min(deadline, int(wait) * 1_000_000)
         units = min(max(1.0, settings.max_units), max(1.0, math.ceil(length / self.settings.unit_bytes)))
         return Ask(
             klass=klass,
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -2,6 +2,7 @@
 
 import errno
 
+import anyio
 import pytest
 
 from runloft.core.deadlines import Deadlines
@@ -44,3 +45,18 @@
 def test_a_closed_listener_ends_accepting():
     with pytest.raises(OSError):
         front().accept_waiting(Listener(OSError(errno.EBADF, "closed"), -1))
+
+
+def test_a_fault_in_one_client_ends_that_client_alone():
+    class Client:
+        ended = False
+
+        async def run(self):
+            raise ZeroDivisionError
+
+        def end(self):
+            self.ended = True
+
+    client = Client()
+    anyio.run(front()._serve, client)
+    assert client.ended
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -383,6 +383,7 @@
     for volume in range(MOST_VOLUMES + 5):
         host.ask(volume=volume)
         host.wait(1)
+        host.end_all()
     assert len(host.scheduler.volumes) == MOST_VOLUMES and 0 not in host.scheduler.volumes
 
 
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -330,3 +330,45 @@
     answer = conn.getresponse()
     assert (answer.status, answer.read()) == (200, b"data")
     assert world.program.process.wait(10) == 0
+
+
+@pytest.fixture(scope="module")
+def shared(tmp_path_factory):
+    made = World(tmp_path_factory.mktemp("shared"))
+    yield made
+    made.close()
+
+
+def raw(start, *headers, body=b""):
+    return "\r\n".join((f"{start} HTTP/1.1", "Host: x", *headers, "", "")).encode() + body
+
+
+@pytest.mark.parametrize(
+    "sent, status, seconds",
+    [
+        (raw("GET //["), b"400", 1),
+        (raw(f"PUT {ITEM}?partNumber=%C2%B2&uploadId=a", "Content-Length: 0"), b"400", 1),
+        (raw(f"GET {ITEM}?uploadId=%C3%A9"), b"404", 1),
+        (raw(f"PUT {ITEM}", "X-Expires-In-Ms: soon", "Content-Length: 0"), b"400", 1),
+        (raw(f"PUT {ITEM}", "X-Expires-In-Ms: 0", "Content-Length: 0"), b"400", 1),
+        (raw(f"GET {ITEM}", "Range: bytes=0-1", "Range: bytes=2-3"), b"400", 1),
+        (raw(f"PUT {ITEM}", "Content-Length: 60000000", body=b"k" * 90_000), b"413", 2),
+        (raw(f"PUT {ITEM}", "Content-Length: 10", body=b"half"), b"408", 6),
+        (raw(f"GET {ITEM}")[:-4], b"408", 3),
+        (b"", b"", 3),
+    ],
+)
+def test_a_bad_client_gets_an_error_or_a_close_in_time(shared, sent, status, seconds):
+    began = time.monotonic()
+    with shared.program.connect("ObjectFront") as sock:
+        sock.sendall(sent)
+        got = sock.recv(65536)
+    assert got[9:12] == status and time.monotonic() - began < seconds
+    assert shared.program.process.poll() is None
+
+
+def test_hundreds_that_say_nothing_do_not_lock_object_clients_out(shared):
+    silent = [shared.program.connect("ObjectFront") for _ in range(120)]
+    assert shared.ask("GET")[0] == 404
+    for sock in silent:
+        sock.close()
