--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -41,6 +41,8 @@
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
 UNSETTLED = (Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
+FAILED_ALPHA, FAILED_PART = 0.1, 0.25  # weight of the newest answer; part of errors from which a node fails
+FAILED_FOR = 5 * SECOND  # after its last error a node is no longer taken for failing
 KEEP = 60 * SECOND  # a node that is gone is remembered for so long
 WAKE, SUBSCRIBE = 1 << 60, 1 << 61  # timer tokens; a request's own is its id, far below
 
@@ -102,6 +104,7 @@
         self.saved, self.saved_from, self.saved_at = 0.0, -1, 0  # while cold: units below a whole request
         self.served, self.usual = SlidingSum(settings.cold_ns), 0.0  # units served; a second, when warm
         self.down_since = self.refused_at = self.gone_at = 0  # refused_at: when it was last found down
+        self.failed, self.failed_at = 0.0, 0  # smoothed part of errors among answers; when last
         self.recent = SlidingSum(settings.fall_ns)
 
     def usable(self) -> bool:
@@ -113,6 +116,10 @@
         since = self.quiet_since if self.quiet_since is not None and self.unanswered > 1 else now
         return now - since > SILENT_AIMS * self.aim
 
+    def failing(self, now: int) -> bool:
+        """Quick errors look like a short queue: whoever may go elsewhere had better do so."""
+        return self.failed > FAILED_PART and now < self.failed_at + FAILED_FOR
+
     def ready(self, units: float, rate: float, now: int) -> int:
         """When a request that left now should be answered."""
         return now + int((self.out_units + units) / rate * SECOND) if rate else now
@@ -151,7 +158,11 @@
         """Note an attempt's end; only successes count as finished work, so quick errors raise no rate."""
         self.rate.pass_time(now, bool(self.out))
         sent_at = self.release(key)
-        if ending is Ending.OK:
+        if ending in (Ending.OK, Ending.ERROR):
+            self.failed += FAILED_ALPHA * ((ending is Ending.ERROR) - self.failed)
+        if ending is Ending.ERROR:
+            self.failed_at = now
+        elif ending is Ending.OK:
             self.served_up_to = max(self.served_up_to, sent_at)
             self.rate.finish(units)
             self.served.add(now, units)
@@ -323,7 +334,7 @@
             if node.usable() and self._same_group(ticket, node):
                 ahead = node.out_units + sum(t.units for t in self.held.get(shard, ()))
                 wait = (ahead + ticket.units) / max(self._rate(node, now), 1e-9)
-                poor = node.suspect(now) or self._cold_since(node, now) is not None
+                poor = node.suspect(now) or node.failing(now) or self._cold_since(node, now) is not None
                 ranks.append((poor, wait, self.random.random(), shard))
         return min(ranks)[3] if ranks else None
 
--- a/tests/test_decisions.py
+++ b/tests/test_decisions.py
@@ -398,3 +398,22 @@
     assert not host.sends(later) and out
     while not host.sends(later):
         host.end(min(host.open))
+
+
+def test_new_objects_leave_a_node_that_fails_quickly_until_it_has_not_failed_for_a_while():
+    host = Host(settings(klass(), max_attempts=1), nodes=(NODE, NodeEntry(11, 1)))
+    for _ in range(20):  # one in three is served there, so that it is never silent
+        for ending in (Ending.ERROR, Ending.ERROR, Ending.OK):
+            host.end(host.ask(shard=0), ending, latency=1)
+            host.wait(5)
+            host.end(host.ask(shard=1), latency=20)
+            host.wait(5)
+    placed = []
+    for _ in range(10):
+        id_ = host.ask(shard=None)
+        placed.append(host.nodes[id_])
+        host.end(id_)
+        host.wait(5)
+    assert set(placed) == {11}
+    assert host.scheduler.nodes[10].failing(host.now)
+    assert not host.scheduler.nodes[10].failing(host.now + 5 * SECOND)
