Let an attempt wait for a descriptor instead of calling its node unreachable; guard links

Seen: a link at its cap of connections, or without a descriptor, told the module that connecting to the node had failed, which counts as evidence that the node is down. Checked in the code and by a test of the link alone. At fault: NodeLink.dispatch. The attempt now waits until a connection is to spare or its time is up. A fault in a node connection or in a reload file ends no program; exchanges write what a node sends in one go.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -1,6 +1,7 @@
 """The command line."""
 
 import argparse
+import gc
 import logging
 import os
 import signal
@@ -62,6 +63,9 @@
         config = load_config(options.config)
     except ConfigError as error:
         return _faults(error)
+    # What is loaded by now stays: collections in the middle of a turn need not walk it.
+    gc.collect()
+    gc.freeze()
     anyio.run(serve, config, options.config)
     return 0
 
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -29,7 +29,15 @@
 CONNECT_S = 1.0  # the agent is on this machine: it is up or it is not
 LINE_LIMIT = 1 << 20
 # What discovery may do to a watch; whatever it is, the watch is opened again.
-WATCH_ERRORS = (ArithmeticError, OSError, TypeError, ValueError, h11.ProtocolError, anyio.ClosedResourceError)
+WATCH_ERRORS = (
+    ArithmeticError,
+    OSError,
+    RecursionError,
+    TypeError,
+    ValueError,
+    h11.ProtocolError,
+    anyio.ClosedResourceError,
+)
 
 
 def listed(message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None) -> Listed:
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -114,7 +114,8 @@
         if protocol is None or self.order is None:
             raise ValueError("an answer that nothing asked for")
         protocol.receive_data(bytes(memoryview(inbox.data)[inbox.start : inbox.end]))
-        inbox.start = inbox.end = 0
+        inbox.start = inbox.end
+        inbox.shrink()
         self._move()
         try:
             while (event := protocol.next_event()) is not h11.NEED_DATA:
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -22,6 +22,7 @@
 REPLIES_PART = 3  # of the spare memory, for long replies that are half read, together
 SHORT = 16 << 10  # what a connection may hold without asking
 REST_NS = 3_000_000  # a second copy of an answer, or noise behind it, comes by then
+FULL_NS = 5_000_000  # until there may be a connection to spare
 STALL_NS = 250_000_000  # a reply that has begun and brings no byte for so long never becomes whole
 
 
@@ -94,22 +95,26 @@
                 return
             connection.end()
         if patient and (resting := self.idle.get(place)):  # ready sooner than a new one, at less cost there
-            at = resting[0].idle_since + REST_NS + 1
-            self.waiting[order.attempt] = self.deadlines.add(at, partial(self.dispatch, order, False))
+            self._wait(order, resting[0].idle_since + REST_NS + 1)
             return
+        # Guards what is believed of the node: no descriptor left here says nothing about it.
         if len(self.open) >= self.most and not self._make_room():
-            self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
+            self._wait(order, self.clock() + FULL_NS)
             return
         try:
             connection = self.kind(self, place)
-        except OSError as error:  # out of descriptors: the attempt fails, the program goes on
+        except OSError as error:
             log.warning("no connection", node=order.node.uid, error=str(error))
-            self.post(Ended(order.attempt, Ending.CONNECT_FAILED))
+            self._wait(order, self.clock() + FULL_NS)
             return
         self.open.add(connection)
         connection.take(order)
         self.group.start_soon(connection.run)
 
+    def _wait(self, order: Dispatch, at: int) -> None:
+        """Try again then, unless the attempt is given up before."""
+        self.waiting[order.attempt] = self.deadlines.add(at, partial(self.dispatch, order, False))
+
     def _unpool(self, connection: "Connection") -> None:
         """Take a connection out of its pool, and an empty pool out of the table."""
         self.deadlines.discard(connection.mark)
@@ -239,6 +244,8 @@
         except (OSError, ValueError, BufferError, anyio.ClosedResourceError) as error:
             if not self.ended and not isinstance(error, OSError):
                 log.warning("node connection broken", node=self.place[0], error=str(error))
+        except Exception:  # guards the program: what a node sends may end its connection, nothing more
+            log.exception("node connection", node=self.place[0])
         finally:
             self.end()
 
--- a/runloft/net/reload.py
+++ b/runloft/net/reload.py
@@ -44,6 +44,9 @@
         except ConfigError as error:
             log.error("reload failed, the old configuration stands", faults=error.faults)
             return
+        except Exception:  # guards the program: no file is worth its end
+            log.exception("reload failed, the old configuration stands")
+            return
         fresh, waiting = changeable(self.config, fresh)
         if waiting:
             log.warning("some changes need a restart", keys=waiting)
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -6,11 +6,13 @@
 
 import pytest
 
-from runloft.core.model import Ended, Reconfigured, Refused
-from runloft.decisions.contract import Ending, NewSettings, PlanSettings, Send
-from runloft.net.reload import changeable
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import Dispatch, Ended, NodeNews, Reconfigured, Refused
+from runloft.decisions.contract import Ending, ListKind, NewSettings, PlanSettings, Send
+from runloft.net.links import NodeLink
+from runloft.net.reload import Reload, changeable
 from runloft.settings import config_from_json
-from tests.driver import MS, Host, settings
+from tests.driver import MS, SECOND, Host, settings
 from tests.standins import Discovery, Program, RespNode, config, entry, until
 from tests.test_core import Turns
 
@@ -101,3 +103,33 @@
     assert host.scheduler.nodes[10] is node and node.out
     assert (node.served.window, node.recent.window) == (7, 9)
     assert store.plan.reserve == 5.0 and store.reserve_most < 1000
+
+
+@pytest.mark.parametrize("rev, told", [(9, [ListKind.FULL]), (4, []), (None, [])])
+def test_a_file_that_knows_more_than_the_watch_has_told_is_heeded(tmp_path, rev, told):
+    class Watch:
+        rev, zones, moves = 5, (), []
+
+        def move(self, where):
+            self.moves.append(where)
+
+    path, posted, raw = tmp_path / "config.json", [], config("127.0.0.1:1", [entry("127.0.0.1:2")])
+    path.write_text(json.dumps(raw | {"known": raw["known"] | {"rev": rev}}))
+    reload = Reload(str(path), config_from_json(raw), Watch(), posted.append, ())
+    reload()
+    assert [event.kind for event in posted] == told and reload.watch.rev == (9 if told else 5)
+    path.write_text("[" * 100_000)  # too deep to be read: the old one stands
+    before = reload.config
+    reload()
+    assert reload.config is before and len(Watch.moves) == 1
+
+
+def test_a_link_without_a_descriptor_to_spare_says_nothing_of_the_node():
+    deadlines, posted = Deadlines(), []
+    conf = config_from_json(config("127.0.0.1:1", []) | {"limits": {"sockets": 32}})
+    link = NodeLink(None, posted.append, deadlines, lambda: 0, conf, kind=None)
+    link.most = 0
+    link.dispatch(Dispatch(1, NodeNews("s-1", "127.0.0.1:2", 0), None, SECOND))
+    assert posted == [] and list(link.waiting) == [1] and len(deadlines) == 1
+    link.abandon(1)
+    assert not link.waiting and not len(deadlines)
