Count a half-read command's time from its first byte, not from the last answer

At fault: Client._check counted 2.6 s from the last answer, so a connection that had rested had less for its next command.

--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -23,7 +23,7 @@
 COMMAND_LIMIT = 72 << 10
 BUFFER_PART = 8  # of the spare memory: commands that are half read, of all clients together
 ANSWERS_PART = 4  # of the spare memory: answers that clients have not read, of all together
-SPEAK_NS = 2_600_000_000  # a command is whole by then, counted from connecting or the last whole one
+SPEAK_NS = 2_600_000_000  # a command is whole so long after its first byte; the first one, after connecting
 IDLE_NS, CROWD_NS = 15_000_000_000, 2_000_000_000  # a rest between requests; and where there are many
 STUCK_NS = 5_000_000_000  # a client that reads nothing of its answers for so long is gone
 LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last error
@@ -77,7 +77,8 @@
         self.reading = anyio.CancelScope()
         self.ended = self.writing = self.closing = self.lingering = self.half_read = self.spoke = False
         self.errors = self.buffered = self.unsent = 0  # unsent: bytes of answers behind one that is owed
-        self.used_at = self.moved_at = front.clock()  # last whole command or answer; last byte taken by it
+        # Last whole command or answer, last byte that it took, and since when a command is half read.
+        self.used_at = self.moved_at = self.half_since = front.clock()
         self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
@@ -131,8 +132,12 @@
                 self.fail(str(error))
                 return False
             if piece is None:
-                self.half_read = inbox.start != inbox.end
+                if inbox.start == inbox.end:
+                    self.half_read = False
+                elif not self.half_read:  # what trickles in later does not set this again
+                    self.half_read, self.half_since = True, self.front.clock() if self.spoke else self.used_at
                 return False
+            self.half_read = False
             words, inbox.start = piece
             taken += 1
             self.used_at, self.spoke = self.front.clock(), True
@@ -241,7 +246,7 @@
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
         front, now = self.front, self.front.clock()
-        patience = SPEAK_NS
+        since, patience = self.half_since if self.half_read else self.used_at, SPEAK_NS
         if self.spoke and not self.half_read:
             patience = CROWD_NS if front.is_crowded() else IDLE_NS
         if self.ended:
@@ -249,7 +254,7 @@
         if self.outbox.size and now - self.moved_at > STUCK_NS:
             self.end()
             return
-        if self.closing or now - self.used_at < patience:
+        if self.closing or now - since < patience:
             pass
         elif self.half_read:
             # Behind what is open on it, if anything: those answers come first.
@@ -257,7 +262,7 @@
         else:
             self.close_if_idle()
         if not self.ended:
-            due = min(self.used_at + patience, now + CROWD_NS)
+            due = min(since + patience, now + CROWD_NS)
             self.mark = front.deadlines.add(due if due > now else now + CROWD_NS // 8, self._check)
 
     async def _linger(self) -> None:
--- a/tests/test_grammar.py
+++ b/tests/test_grammar.py
@@ -120,6 +120,16 @@
     assert time.monotonic() - began < 3.5
 
 
+def test_a_slow_command_on_a_rested_connection_has_its_own_time(program):
+    with program.connect() as sock:
+        for pause in (0, 1.8):  # resting and writing together take longer than a command may
+            time.sleep(pause)
+            sock.sendall(b"*1\r\n$4\r\n")
+            time.sleep(pause / 1.5)
+            sock.sendall(b"PING\r\n")
+            assert sock.recv(100) == b"+PONG\r\n"
+
+
 def test_an_oversized_length_is_answered_from_its_head_and_the_error_arrives(program):
     sock = program.connect()
     sock.sendall(b"*5\r\n$6\r\nIO.OUT\r\n$60000000\r\n" + b"k" * 100_000)
