Use replaced nodes by their shard's past use, or by what a restarted host is asked for

Cause: `_cold_room` goes by what this host saw the node serve before its start. A new id has no past, a restarted host has none at all, so a host's part was (3.0 - 2.04) / 40 units in 2 s: nothing for a whole warm-up. A third: an answer's lateness raised the price of its node by the tightest class's aim, whatever class it was of.

Change: a new node of a shard inherits what that shard was asked for and served; a host without a past goes by what it is asked for, up to 4 / hosts of a node's rate; units a second over all nodes stand in for a node not heard (thin traffic shows a rate at one node only after 20 s); turned away and not reached count as failing, with weight 0.3, for the placing of new objects; the price judges an answer by its own class's aim.

Tests: tests/test_fleet.py, with 1, 4 and 40 schedulers against one model node, asserting that what the node gets together stays within the rule; all fail without the change.

--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -32,6 +32,7 @@
 PRICE_SPREAD, PRICE_JITTER = 0.1, 0.5  # price: share of an answer in all nodes' mean; spread over requests
 PRICE_FADE = 15  # price: tightest aims in which a node's falls to the other nodes' by 1/e, and theirs to none
 COLD_PART = 0.5  # part of a cold node's budget that is used: its true speed is not told
+EVEN_PARTS = 4  # even parts of an idle node's rate that one of many hosts with no past takes for its own
 GUESS_PART = 0.5  # part of the warm-up for which refused connections count as a start
 DOWN = SECOND // 2  # so long connecting must have failed, and nothing served, for that guess
 HOLD_PART = 0.45  # of its client's time: a request that has not left by then is given up
@@ -40,8 +41,9 @@
 RETRY_SLACK = 0.25  # tightest aims by which tries' waits differ anyway
 WAKE_PART = 0.1  # while anything is held, look again after this part of the tightest aim
 NEVER_RAN = (Ending.FULL, Ending.CONNECT_FAILED, Ending.MOOT)
+FAILURES = (Ending.ERROR, Ending.FULL, Ending.CONNECT_FAILED)
 UNSETTLED = (Ending.TIMEOUT, Ending.RESET, Ending.CANCELLED)
-FAILED_ALPHA, FAILED_PART = 0.1, 0.25  # weight of the newest answer; part of errors from which a node fails
+FAILED_ALPHA, FAILED_PART = 0.3, 0.25  # weight of the newest answer; part of errors from which a node fails
 FAILED_FOR = 5 * SECOND  # after its last error a node is no longer taken for failing
 KEEP = 60 * SECOND  # a node that is gone is remembered for so long
 WAKE, SUBSCRIBE = 1 << 60, 1 << 61  # timer tokens; a request's own is its id, far below
@@ -50,17 +52,22 @@
 class ServiceRate:
     """Units that finished here per second of the time in which this host had requests out."""
 
-    def __init__(self, window: int) -> None:
+    def __init__(self, window: int, pool: "ServiceRate | None" = None) -> None:
         self.window, self.z, self.units, self.busy, self.mark = window, 0.0, 0.0, 0, 0
+        self.pool = pool  # of all nodes: thin traffic shows a rate there long before it does at each
 
     def pass_time(self, now: int, busy: bool) -> None:
         """Count the time since the last change as busy if requests were out in it."""
-        self.busy += (now - self.mark) if busy else 0
-        self.mark = now
+        passed, self.mark = (now - self.mark) if busy else 0, now
+        self.busy += passed
+        if self.pool:
+            self.pool.busy += passed
 
     def finish(self, units: float) -> None:
         """Count served units; z = a*t + (1-a)*z, applied once for each window that the sample covers."""
         self.units += units
+        if self.pool:
+            self.pool.finish(units)
         if self.busy >= self.window:
             sample, keep = self.units * SECOND / self.busy, (1 - ALPHA) ** (self.busy / self.window)
             self.z = (1 - keep) * sample + keep * self.z if self.z else sample
@@ -93,9 +100,9 @@
 class Node:
     """What this host knows of one node: list state, health, service rate, work out there."""
 
-    def __init__(self, entry: NodeEntry, aim: int, settings: Settings) -> None:
+    def __init__(self, entry: NodeEntry, aim: int, settings: Settings, pool: ServiceRate) -> None:
         self.entry, self.aim = entry, aim
-        self.rate, self.latency = ServiceRate(aim), 0.0
+        self.rate, self.latency = ServiceRate(aim, pool), 0.0
         self.out: dict[tuple[int, int], tuple[int, float]] = {}  # (request, attempt): when it left, units
         self.out_units, self.served_up_to = 0.0, 0
         self.price = Price(aim)
@@ -103,6 +110,7 @@
         self.sent_at = self.unanswered = 0
         self.saved, self.saved_from, self.saved_at = 0.0, -1, 0  # while cold: units below a whole request
         self.served, self.usual = SlidingSum(settings.cold_ns), 0.0  # units served; a second, when warm
+        self.asked = SlidingSum(settings.cold_ns)  # units that clients asked for
         self.down_since = self.refused_at = self.gone_at = 0  # refused_at: when it was last found down
         self.failed, self.failed_at = 0.0, 0  # smoothed part of errors among answers; when last
         self.recent = SlidingSum(settings.fall_ns)
@@ -158,11 +166,11 @@
         """Note an attempt's end; only successes count as finished work, so quick errors raise no rate."""
         self.rate.pass_time(now, bool(self.out))
         sent_at = self.release(key)
-        if ending in (Ending.OK, Ending.ERROR):
-            self.failed += FAILED_ALPHA * ((ending is Ending.ERROR) - self.failed)
-        if ending is Ending.ERROR:
-            self.failed_at = now
-        elif ending is Ending.OK:
+        # Guards new objects where lists are late: what drains turns all away, what is gone can't be reached.
+        if ending in FAILURES or ending is Ending.OK:
+            self.failed += FAILED_ALPHA * ((ending in FAILURES) - self.failed)
+            self.failed_at = now if ending in FAILURES else self.failed_at
+        if ending is Ending.OK:
             self.served_up_to = max(self.served_up_to, sent_at)
             self.rate.finish(units)
             self.served.add(now, units)
@@ -219,7 +227,7 @@
         self.touched: dict[int | None, bool] = {}  # shards where something has happened in this turn
         self.volumes: dict[int, VolumeStore] = {}
         self.most_left: dict[int, int] = {}  # by class: the longest wait that a try brought
-        self.mean_price = Price(SECOND)
+        self.mean_price, self.pool = Price(SECOND), ServiceRate(SECOND)
         self._settle(settings)
         self.taken, self.extra = SlidingSum(settings.budget_window_ns), SlidingSum(settings.budget_window_ns)
         self.lines: dict[int, list[Ticket]] = {}  # by key: requests in order of arrival
@@ -233,10 +241,12 @@
         self.aim = min((c.aim_ns for c in settings.classes), default=SECOND)
         self.top_worth = max((c.worth for c in settings.classes), default=1.0)
         self.top_worth *= max((p.price for p in settings.plans), default=1.0)
+        self.pool.window = self.aim
         self.most_left.clear()  # a longer deadline than before would make every try look like a later one
         for node in self.nodes.values():
             node.aim = node.rate.window = self.aim
-            node.served.window, node.recent.window = settings.cold_ns, settings.fall_ns
+            node.served.window = node.asked.window = settings.cold_ns
+            node.recent.window = settings.fall_ns
         for price in (self.mean_price, *(node.price for node in self.nodes.values())):
             price.fade, price.timely = PRICE_FADE * self.aim, LATE_PART * self.aim
         for store in self.volumes.values():
@@ -299,6 +309,8 @@
         self.actions.append(Timer(max(now, ticket.deadline - self.settings.tick_ns), ticket.id))
         self.actions.append(Timer(ticket.hold_until, ticket.id))
         self._hold(ticket, now)
+        if node := self.shards.get(ticket.shard):
+            node.asked.add(now, ticket.units)
         wait = max(self._forecast(ticket, now), self._barred(ticket, self.shards.get(ticket.shard), now))
         excess = wait - (ticket.hold_until - now) / SECOND
         if excess > 0:
@@ -312,9 +324,7 @@
 
     def _rate(self, node: Node, now: int) -> float:
         """Its smoothed rate, or the others' mean where it is unheard; silence pulls it down."""
-        z = node.rate.z
-        known = () if z else [n.rate.z for n in self.nodes.values() if n.rate.z]
-        z = sum(known) / len(known) if known else z
+        z = node.rate.z or self.pool.z
         return z * SILENT_AIMS * self.aim / (now - (node.quiet_since or 0)) if node.suspect(now) else z
 
     def _forecast(self, ticket: Ticket, now: int) -> float:
@@ -491,7 +501,11 @@
             node.usual = node.served.total(now) * SECOND / max(1, min(s.cold_ns, now - self.born))
         # All hosts' usual use is at most what the node does when warm; so is this part of it, when cold.
         warm = s.cold_from + (1 - s.cold_from) * max(0, now - since - s.fall_ns) / max(1, s.cold_ns)
-        borne = COLD_PART * s.fall_multiple * warm * node.usual * s.fall_ns / SECOND
+        # A host that knows no past goes by what it is asked for, up to a part of what nodes do.
+        asked = node.asked.total(now) * SECOND / max(s.fall_ns, min(s.cold_ns, now - self.born))
+        even = self._rate(node, now) / max(1, s.hosts) * (EVEN_PARTS if self.many else 1)
+        usual = max(node.usual, min(asked, even))
+        borne = COLD_PART * s.fall_multiple * warm * usual * s.fall_ns / SECOND
         part = max((s.cold_units - s.mean_units) / max(1, s.hosts), borne)  # less one: steps are uneven
         node.saved, node.saved_at = min(0.0, node.saved + part * (now - node.saved_at) / s.fall_ns), now
         used = node.recent.total(now)
@@ -520,7 +534,7 @@
         self.nodes[sent_to].ended(now, key, ticket.units, outcome.ending, outcome.latency_ns)
         if self.many and (outcome.ending is Ending.OK or outcome.latency_ns >= self.aim):
             price, mean = self.nodes[sent_to].price, self.mean_price.now(now)
-            price.learn(now, outcome.latency_ns, mean)
+            price.learn(now, outcome.latency_ns * self.aim // ticket.klass.aim_ns, mean)
             self.mean_price.value, self.mean_price.at = mean + PRICE_SPREAD * (price.value - mean), now
         ticket.reached |= outcome.ending not in (Ending.CONNECT_FAILED, Ending.MOOT)
         if outcome.ending not in NEVER_RAN and ticket.doubt_at is None:
@@ -582,11 +596,15 @@
             self.nodes[number].entry = replace(self.nodes[number].entry, state=NodeState.GONE)
         for entry in news.entries:
             known = self.nodes.get(entry.node)
-            node = self.nodes[entry.node] = known or Node(entry, self.aim, self.settings)
+            node = self.nodes[entry.node] = known or Node(entry, self.aim, self.settings, self.pool)
+            if not known and (before := self.shards.get(entry.shard)):
+                # A new machine in its place is asked for the same as that one.
+                node.served, node.asked = before.served, before.asked
             if entry.started_ns > node.entry.started_ns:  # a fresh process: no queue, and no silence yet
                 node.price.value, node.price.at = 0.0, now
                 node.quiet_since, node.unanswered = None, len(node.out)
             node.entry = entry
+            self._cold_room(node, 0.0, now)  # notes what it was used before use of it fades
         needed = {ticket.doubt_node for ticket in self.tickets.values()}
         needed.update(*(ticket.out.values() for ticket in self.tickets.values()))
         for number, node in list(self.nodes.items()):
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -58,6 +58,7 @@
         self.attempts: dict[int, int] = {}
         self.nodes: dict[int, int] = {}
         self.open: set[int] = set()
+        self.asked_at: dict[int, int] = {}  # kept by tests that ask for it
         self.see(NodeList(ListKind.CACHED, tuple(nodes)))
 
     def see(self, *events: Event) -> list[Action]:
@@ -121,6 +122,10 @@
     def sends(self, id_: int | None = None) -> list[tuple[int, Send]]:
         return [(t, a) for t, a in self.log if isinstance(a, Send) and id_ in (None, a.id)]
 
+    def sends_after(self, seen: int) -> list[tuple[int, Send]]:
+        """Give the sends of the log behind its first so many entries."""
+        return [(t, a) for t, a in self.log[seen:] if isinstance(a, Send)]
+
     def answers(self, id_: int) -> list[tuple[int, Action]]:
         return [(t, a) for t, a in self.log if isinstance(a, Refuse | Fail) and a.id == id_]
 
--- /dev/null
+++ b/tests/test_fleet.py
@@ -0,0 +1,67 @@
+"""The large fleet: what one scheduler does that is safe alone and harmful, or useless, when forty do it."""
+
+import pytest
+
+from runloft.decisions.contract import Ending, NodeEntry
+from tests.driver import NODE, SECOND, Host, klass, settings
+from tests.fleet import Fleet, fleet_settings
+
+
+@pytest.mark.parametrize("hosts", [1, 4, 40])
+def test_a_replaced_node_is_used_by_what_its_shard_was_used_and_not_pushed_over(hosts):
+    """Day join+vast: replaced nodes got next to nothing for 18 s, since a new id has no past."""
+    fleet = Fleet(hosts)
+    fleet.run(10, load=15.0)
+    fleet.replace(0, 1)
+    before = fleet.served
+    fleet.run(12, load=15.0)
+    assert fleet.nodes[1].worst <= 1.0
+    assert fleet.served - before >= 15
+
+
+def test_a_restarted_host_uses_a_cold_node_by_what_it_is_asked_for():
+    """Day herd+vast: hosts that had forgotten everything left all replaced nodes idle."""
+    host = Host(fleet_settings(40, 0), nodes=(NODE, NodeEntry(11, 1, started_ns=SECOND)), at=SECOND)
+    host.serve(120, latency=20, shard=0)
+    before = len(host.sends())
+    for _ in range(40):
+        host.ask(shard=1, left=800)
+        host.wait(250)
+        host.end_all()
+    assert 2 <= len(host.sends()) - before <= 20
+
+
+def test_thin_traffic_shows_a_rate_over_all_nodes_before_it_does_at_one():
+    host = Host(fleet_settings(40, 0), nodes=[NodeEntry(n, n) for n in range(30)])
+    for n in range(30):
+        host.serve(1, latency=100, shard=n)
+    scheduler = host.scheduler
+    assert not any(node.rate.z for node in scheduler.nodes.values())
+    assert 5 < scheduler._rate(scheduler.nodes[0], host.now) < 20
+
+
+@pytest.mark.parametrize("ending", [Ending.FULL, Ending.CONNECT_FAILED])
+def test_new_objects_leave_a_node_that_drained_or_went_before_the_list_tells(ending):
+    """Day herd+vast: lists came six seconds late, and new objects went on to nodes that turned all away."""
+    host = Host(fleet_settings(40, 0, max_attempts=1), nodes=(NODE, NodeEntry(11, 1)))
+    for shard in (0, 1):
+        host.serve(2, latency=20, shard=shard)
+    host.end(host.ask(shard=0), ending, latency=1)
+    host.wait(100)
+    placed = []
+    for _ in range(6):
+        placed.append(host.nodes[id_ := host.ask(shard=None)])
+        host.end(id_)
+    assert set(placed) == {11}
+
+
+def test_an_answer_in_its_classs_own_aim_raises_no_price():
+    """A long class's answers, as slow as they may be, made every node look crowded to the tight classes."""
+    quick, slow = klass(aim=100, deadline=3000), klass(aim=1000, deadline=3000, worth=0.5)
+    host = Host(settings(quick, slow, hosts=40))
+    for _ in range(6):
+        host.end(host.ask(klass=1), latency=300)
+        host.wait(100)
+    assert host.scheduler._price(host.scheduler.nodes[10], host.now) == 0
+    host.end(host.ask(klass=0), latency=300)
+    assert host.scheduler._price(host.scheduler.nodes[10], host.now) > 0
