--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -7,25 +7,27 @@
 import signal
 import sys
 from collections.abc import Sequence
-from importlib.metadata import PackageNotFoundError, version
 
 import anyio
 import structlog
 
 from runloft import __version__
-from runloft.config import commands as commands_of_config
 from runloft.config.faults import ConfigError
 from runloft.config.settings import load_config
 from runloft.net.runner import serve
 
 
-def parser() -> argparse.ArgumentParser:
-    """Describe the sub-commands."""
+def parser(tools: bool = True) -> argparse.ArgumentParser:
+    """Describe the sub-commands; without the tools, whose loading would only delay a scheduler's start."""
     top = argparse.ArgumentParser(prog="runloft", description="A host-side I/O scheduler.")
     commands = top.add_subparsers(dest="command", required=True)
     run = commands.add_parser("serve", help="run one scheduler")
     run.add_argument("--config", default=os.environ.get("ROUTER_CONFIG"), help="default: $ROUTER_CONFIG")
     run.add_argument("--verbose", action="store_true", help="log at debug level")
+    if not tools:
+        return top
+    from runloft.config import commands as commands_of_config
+
     commands.add_parser("version", help="print versions")
     config = commands.add_parser("config", help="write, check, explain or compare configurations")
     actions = config.add_subparsers(dest="action", required=True)
@@ -48,8 +50,11 @@
 
 def main(argv: Sequence[str] | None = None) -> int:
     """Run a sub-command; 1 with lines on standard error where the configuration is at fault."""
-    options = parser().parse_args(argv)
+    arguments = sys.argv[1:] if argv is None else list(argv)
+    options = parser(tools=arguments[:1] != ["serve"]).parse_args(arguments)
     if options.command == "version":
+        from importlib.metadata import PackageNotFoundError, version
+
         print(f"runloft {__version__}")
         for name in ("anyio", "h11", "redis", "sortedcontainers", "structlog"):
             try:
@@ -59,6 +64,8 @@
         return 0
     if options.command == "config":
         if options.action not in ("roll", "status", "forget"):
+            from runloft.config import commands as commands_of_config
+
             return commands_of_config.run(options)
         # Loaded here: ``serve`` on the platform needs no client of a store.
         from runloft import rolling
--- a/runloft/lab/running.py
+++ b/runloft/lab/running.py
@@ -21,6 +21,7 @@
 import tomli_w
 
 from runloft.config.agreement.planning import wanted, ways
+from runloft.config.agreement.records import View
 from runloft.config.generating import Generator
 from runloft.config.records import Reader, raw_of
 from runloft.lab.discovery import LabDiscovery
@@ -200,6 +201,13 @@
                 process.kill()
 
 
+def _settled(view: View, sidecars: int) -> bool:
+    """Whether all are there and serve by what is in force."""
+    force = view.force.rank if view.force else None
+    ranks = {(lease.generation, lease.digest) for lease in view.leases.values()}
+    return len(view.leases) >= sidecars and ranks == {force}
+
+
 async def _rolled_out(scenario: Scenario, world: Fleet, files: dict[str, Path]) -> float:
     """Bring the fleet's figures into force, as ``config roll out`` does."""
     lease_ns = int(scenario.record.lease * 1_000_000)
@@ -214,7 +222,9 @@
     report: dict[str, Any] = {}
     try:
         with anyio.fail_after(START_S):
-            while len((await store.view()).leases) < len(files):
+            # Guards the roll-out against the sidecars' own start: what they bring along may change what is
+            # in force until each of them serves by it.
+            while not _settled(await store.view(), len(files)):
                 await anyio.sleep(lease_ns / 1e10)
         await roll_out(store, ways(scenario.fleet, content), as_json=True, report=report, quiet=True)
     except StoreError as error:
