--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -148,8 +148,8 @@
 
 
 def test_a_schedulers_start_loads_none_of_the_tool():
-    """Day herd+vast: 28 schedulers at once were away for half a second each, a fifth of it loading the tool."""
-    code = "import sys; from runloft.cli import main; main(['serve', '--config', '/none']); print(*sys.modules)"
+    """Day herd+vast: 28 schedulers at once were away for half a second, a fifth of it loading the tool."""
+    code = "import sys; from runloft.cli import main; main(['serve', '--config', '/no']); print(*sys.modules)"
     run = subprocess.run([sys.executable, "-c", code], capture_output=True, text=True, cwd=ROOT, timeout=60)
     loaded = run.stdout.split()
     assert "runloft.net.runner" in loaded
