Let only one of many hosts rest where a node turned it away

There at most seven hosts share a node, the second try at once is mostly served, and no storm comes of it.

The large fleet's path is unchanged. A test for few hosts fails without it.

--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -534,7 +534,7 @@
             return  # late or repeated news of what has ended
         key = (outcome.id, outcome.attempt)
         self.touched[self.nodes[sent_to].entry.shard] = True
-        luck = self.random.uniform(0.5, 1.5)
+        luck = self.random.uniform(0.5, 1.5) if self.many else 0.0  # few hosts are no storm
         self.nodes[sent_to].ended(now, key, ticket.units, outcome.ending, outcome.latency_ns, luck)
         if self.many and (outcome.ending is Ending.OK or outcome.latency_ns >= self.aim):
             price, mean = self.nodes[sent_to].price, self.mean_price.now(now)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -98,3 +98,11 @@
     assert gaps[0] >= 5 * MS and len(host.sends(id_)) == 3
     host.end(id_)
     assert host.scheduler.nodes[10].shut == 0
+
+
+def test_few_hosts_try_again_at_once_where_a_node_turned_one_away():
+    """Simulated big-1: seven hosts are no storm, and resting cost them requests that the next try served."""
+    host = Host(settings(klass(aim=1000, deadline=6000), hosts=7, max_attempts=3), at=SECOND)
+    id_ = host.ask()
+    host.end(id_, Ending.FULL, latency=1)
+    assert len(host.sends(id_)) == 2
