Serve who is connected until shortly before SIGKILL, then answer all that is open

Each scheduler let its clients go 0.5 s after SIGTERM (wind_down closed idle connections at once) though its machine stays until 3.7 s after it, and a volume's clients have no other way: PROTOCOL says that they use the connections that stay open.

Change: the listener closes after 0.5 s as before; who is connected is served on for the longest deadline, 3 s at most, then idle connections close. What is open 0.35 s later is given up at once by the module (a new event, Closing: refused with a time to come back, or failed where it may have run), since what SIGKILL finds is lost. The program still ends as soon as nobody is connected.

--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -194,7 +194,12 @@
     held: Withheld = Withheld()
 
 
-Event = Taken | Left | Began | Held | Ended | Written | Listed | Reconfigured
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The scheduler is about to exit: what is open gets its final answer now."""
+
+
+Event = Taken | Left | Began | Held | Ended | Written | Listed | Reconfigured | Closing
 
 
 class Observer(Protocol):
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -19,6 +19,7 @@
     Began,
     Begin,
     Bounds,
+    Closing,
     Dispatch,
     Effect,
     Ended,
@@ -136,6 +137,8 @@
                     if self.observer is not None:
                         self.observer.configured(settings)
                     told.append(contract.NewSettings(settings))
+                case Closing():
+                    told.append(contract.Closing())
         for item in self.deadlines.sweep(now):
             match item:
                 case contract.TimerFired():
--- a/runloft/decisions/contract.py
+++ b/runloft/decisions/contract.py
@@ -206,6 +206,11 @@
     token: int
 
 
+@dataclass(frozen=True, slots=True)
+class Closing:
+    """The host is about to end: what is open gets its final answer now."""
+
+
 @dataclass(frozen=True, slots=True)
 class NewSettings:
     """The operator has changed the settings; classes and plans keep their numbers."""
@@ -213,7 +218,17 @@
     settings: Settings
 
 
-Event = Request | Outcome | StreamStarted | ClientGone | NodeList | ProbeResult | TimerFired | NewSettings
+Event = (
+    Request
+    | Outcome
+    | StreamStarted
+    | ClientGone
+    | NodeList
+    | ProbeResult
+    | TimerFired
+    | NewSettings
+    | Closing
+)
 
 
 # Actions: what the host is to do now, in this order.
--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -10,9 +10,9 @@
 from dataclasses import replace
 
 from runloft.decisions.contract import (
-    Action, Cancel, ClientGone, Effect, Ending, Event, Fail, Forget, Group, ListKind, NewSettings, NodeEntry,
-    NodeList, NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted, Subscribe,
-    Timer, TimerFired,
+    Action, Cancel, ClientGone, Closing, Effect, Ending, Event, Fail, Forget, Group, ListKind, NewSettings,
+    NodeEntry, NodeList, NodeState, Outcome, PlanSettings, Refuse, Request, Send, Settings, StreamStarted,
+    Subscribe, Timer, TimerFired,
 )  # fmt: skip
 from runloft.decisions.state import SlidingSum, Ticket
 
@@ -122,8 +122,8 @@
 
     def suspect(self, now: int) -> bool:
         """Silence is evidence: whatever the cause, such a node gets one trial at a time."""
-        since = self.quiet_since if self.quiet_since is not None and self.unanswered > 1 else now
-        return now - since > SILENT_AIMS * self.aim
+        since = self.quiet_since if self.unanswered > 1 else None
+        return since is not None and now - since > SILENT_AIMS * self.aim
 
     def failing(self, now: int) -> bool:
         """Quick errors look like a short queue: whoever may go elsewhere had better do so."""
@@ -212,8 +212,7 @@
 
     def wait(self, units: float) -> float:
         """Seconds until the limit lets so many units pass."""
-        lack = max(0.0, units - self.limit) if self.plan.limit else 0.0
-        return lack * self.hosts / self.plan.limit if lack else 0.0
+        return max(0.0, units - self.limit) * self.hosts / self.plan.limit if self.plan.limit else 0.0
 
     def draw(self, units: float) -> None:
         """Take a first attempt's units out."""
@@ -280,6 +279,9 @@
                     self._client_gone(event.id, now)
                 case NewSettings(settings):
                     self._settle(settings)
+                case Closing():
+                    for ticket in [t for t in self.tickets.values() if not (t.done or t.streaming)]:
+                        self._give_up(ticket, now)
                 case StreamStarted(id_) if id_ in self.tickets:
                     self.tickets[id_].streaming = True
         # What only time changes is looked at when the host wakes, not whenever something happens elsewhere.
@@ -437,11 +439,10 @@
         if not (self.limited or self.many):
             return 0.0
         limit = 0.0 if ticket.attempts else self._volume(ticket, now).wait(ticket.units)
-        price = self._price(node, now) * ticket.luck * self.top_worth if node else 0.0
-        if node and price:
-            worth = max(self._worth(ticket, node, self._rate(node, now), now), 1e-9)
-            return max(limit, math.log(price / worth) * node.price.fade / SECOND)
-        return limit
+        if node is None or not (price := self._price(node, now) * ticket.luck * self.top_worth):
+            return limit
+        worth = max(self._worth(ticket, node, self._rate(node, now), now), 1e-9)
+        return max(limit, math.log(price / worth) * node.price.fade / SECOND)
 
     def _same_group(self, ticket: Ticket, node: Node) -> bool:
         """Whether a keyed request that may have run would be known there as a repeat."""
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -12,7 +12,7 @@
 
 from runloft.config.settings import Config, ObjectSettings
 from runloft.core.deadlines import Deadlines
-from runloft.core.model import Abandon, Answer, Begin, Dispatch, Effect, Event, Listed, NodeNews
+from runloft.core.model import Abandon, Answer, Begin, Closing, Dispatch, Effect, Event, Listed, NodeNews
 from runloft.core.reducer import Core
 from runloft.decisions.contract import ListKind
 from runloft.fronts.resp import RespFront
@@ -28,6 +28,8 @@
 log = structlog.get_logger()
 POLL_S = 0.02  # while winding down
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
+LONGEST_NS = 3_000_000_000  # SIGKILL comes 0.7 s after the longest deadline, which counts as this at most
+FINISH_NS = 350_000_000  # of those 0.7 s, for what is still open; the rest is for the way out
 LATE_NS = 15_000_000
 
 
@@ -228,7 +230,7 @@
             closes.append(admin_listener(config.admin, core, agreeing.standing if agreeing else None))
         group.start_soon(_heed, received, reload, stopped)
         await stopped.wait()
-        await wind_down(fronts, listeners, core, clock)
+        await wind_down(fronts, listeners, runner)
         for link in runner.links.values():
             link.close()
         if store:
@@ -257,18 +259,24 @@
             stopped.set()
 
 
-async def wind_down(
-    fronts: Sequence[Front], listeners: Sequence[socket.socket], core: Core, clock: Callable[[], int]
-) -> None:
-    """Go on for a while, then stop listening and answer all that was taken."""
+async def wind_down(fronts: Sequence[Front], listeners: Sequence[socket.socket], runner: Runner) -> None:
+    """Stop listening after a while, serve on with the connections that are there, then answer all and end.
+
+    Guards volumes whose clients have no other way: until the next scheduler is there, all that they can ask
+    is asked here.  Nothing taken may be left when SIGKILL comes: what is open shortly before is given up.
+    """
+    core, deadlines, clock = runner.core, runner.deadlines, runner.clock
     log.info("stopping", open=len(core.requests))
-    await pause(core.deadlines, clock, GRACE_S)
+    longest = max((klass.deadline_ns for klass in core.settings.classes), default=LONGEST_NS)
+    ends = clock() + min(longest, LONGEST_NS)
+    await pause(deadlines, clock, GRACE_S)
     for front, listener in zip(fronts, listeners, strict=True):
         front.accept_waiting(listener)  # what the kernel has accepted may carry a request
         close(listener)
-    while True:
-        for front in fronts:
-            front.stop()
-        if not core.requests and not any(front.clients for front in fronts):
-            return
-        await pause(core.deadlines, clock, POLL_S)
+    while core.by_asker or any(front.clients for front in fronts):
+        if clock() >= ends:
+            for front in fronts:
+                front.stop()
+        if clock() >= ends + FINISH_NS:
+            runner.post(Closing())
+        await pause(deadlines, clock, POLL_S)
