Judge silence at time 0 as before; let the tests' host end all with a latency

Cause: reading the change again. suspect had been shortened so that a first attempt at time 0 no longer counted as silence, which a clock in Unix time never shows, but a simulated one may. The line it needs comes from _give_up, which decides the same. The cold node's test had end_all's loop once more; end_all now takes the latency.

--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -123,7 +123,8 @@
 
     def suspect(self, now: int) -> bool:
         """Silence is evidence: whatever the cause, such a node gets one trial at a time."""
-        return self.unanswered > 1 and now - (self.quiet_since or now) > SILENT_AIMS * self.aim
+        since = self.quiet_since if self.quiet_since is not None and self.unanswered > 1 else now
+        return now - since > SILENT_AIMS * self.aim
 
     def failing(self, now: int) -> bool:
         """Quick errors look like a short queue: whoever may go elsewhere had better do so."""
@@ -562,9 +563,8 @@
         """Refuse, to come back after the excess; fail where a refusal, 'a repeat is harmless', may lie."""
         klass, unsent = ticket.klass, ticket.doubt_at is None and not ticket.out
         known = klass.effect is Effect.SAFE or (klass.effect is Effect.KEYED and klass.group is Group.ALL)
-        wait = excess or self._come_back(ticket, now)
-        retry_after = int(min(wait * SECOND, self.settings.max_retry_after_ns))
-        self.actions.append(Refuse(ticket.id, retry_after) if unsent or known else Fail(ticket.id))
+        after = int(min((excess or self._come_back(ticket, now)) * SECOND, self.settings.max_retry_after_ns))
+        self.actions.append(Refuse(ticket.id, after) if unsent or known else Fail(ticket.id))
         self._finish(ticket, now)
 
     def _finish(self, ticket: Ticket, now: int) -> None:
--- a/tests/driver.py
+++ b/tests/driver.py
@@ -98,10 +98,10 @@
         self.open.discard(id_)
         return self.see(Outcome(id_, number, self.nodes[id_], ending, done, int(latency * MS)))
 
-    def end_all(self, ending=Ending.OK) -> None:
+    def end_all(self, ending=Ending.OK, latency: float = 10) -> None:
         """Let all that is out end, and what leaves upon that."""
         while self.open:
-            self.end(min(self.open), ending)
+            self.end(min(self.open), ending, latency)
 
     def serve(self, count: int, latency: float = 10, **more) -> None:
         """Let the node serve some requests, one after another, so that its rate is learned."""
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -127,8 +127,7 @@
         for _ in range(times):
             host.ask(left=900)
             host.wait(answered)
-            while host.open:
-                host.end(min(host.open), latency=answered)
+            host.end_all(latency=answered)
             host.wait(1000 - answered)
         return len(host.sends())
 
