Ask the core again when an attempt's first byte would leave; call a silent agent sooner

Core.may_begin is asked at the first byte now, and Recalled tells of what was not let go; it says nothing of the node. - Core._listed left nodes that a whole list no longer names as they were; found by the test of a node that is gone. - A connection whose node answered before it had read the whole request was pooled with the rest of it unsent. - anyio's wait takes back its registration by the descriptor's number: a watch that opens a socket in the turn in which another one of that number closed lost its wake-up (sockets.connect yields once before it waits). - discovery.py noticed silence after 5 s, of a call that nobody answers too, and waited up to 1 s more: 6 s are all that there is, and what a pushed list has at discovery's return counts at once. 2.5 s, 0.4 s and 0.2 s now; where lists are asked for, 2 s and 1 s. Another discovery is asked for its whole list, since its numbers are its own.

Tests on real sockets (tests/test_crossings.py, tests/test_discovery.py); each was seen to fail with its line taken out.

--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -170,6 +170,13 @@
     elsewhere_units: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class Recalled:
+    """An attempt's first byte was not let go when its connection was ready; nothing of it has left."""
+
+    attempt: int
+
+
 @dataclass(frozen=True, slots=True)
 class Written:
     """An attempt's last byte has left; links tell it where accounts are kept."""
@@ -199,7 +206,7 @@
     """The scheduler is about to exit: what is open gets its final answer now."""
 
 
-Event = Taken | Left | Began | Held | Ended | Written | Listed | Reconfigured | Closing
+Event = Taken | Left | Began | Held | Ended | Recalled | Written | Listed | Reconfigured | Closing
 
 
 class Observer(Protocol):
@@ -238,7 +245,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Write an attempt to a node; ``wait_ns`` is how long it will be waited for."""
+    """Write an attempt to a node; ``wait_ns`` is how long it will be waited for from now on.
+
+    Where its first byte leaves later, ``Core.may_begin`` says whether it still may, and for how long.
+    """
 
     attempt: int
     node: NodeNews
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -30,6 +30,7 @@
     Listed,
     NodeNews,
     Observer,
+    Recalled,
     Reconfigured,
     Refused,
     Rejected,
@@ -40,7 +41,7 @@
 )
 from runloft.decisions import contract
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
-from runloft.decisions.policy import Scheduler
+from runloft.decisions.policy import NEVER_RAN, Scheduler
 
 USED_NS = 2_000_000_000  # so long an id that is no longer open is still known
 WIRE_PART = 0.5  # of each bound, for what comes by one wire: a flood on one front leaves room for the other
@@ -59,6 +60,7 @@
     over: bool = False
     streaming: bool = False
     last: Ending | None = None
+    doubt_at: int | None = None  # when the first attempt left that may have run
 
 
 @dataclass(slots=True, eq=False)
@@ -108,6 +110,26 @@
         """When the next turn is due even if nothing happens; None: not at all."""
         return now if self._next_turn else self.deadlines.next_at()
 
+    def may_begin(self, number: int, now: int) -> int:
+        """Say how long an attempt may be waited for whose first byte would leave now; 0: it may not leave.
+
+        Guards what was decided at the hand-over: until a connection is up, its client may leave, its node may
+        be told to drain, go or start anew, the window for its repeat may close, its time may run out.
+        """
+        attempt = self.attempts.get(number)
+        if attempt is None or attempt.request.over or attempt.due is None:
+            return 0
+        request, news = attempt.request, self.nodes.get(attempt.node)
+        if news is None or news.state is not NodeState.READY:
+            return 0
+        if (news.endpoint, news.started_ns) != (attempt.news.endpoint, attempt.news.started_ns):
+            return 0
+        klass = self.settings.classes[request.ask.klass]
+        repeated = request.doubt_at is not None and klass.effect is contract.Effect.KEYED
+        if repeated and now + self.settings.tick_ns >= (request.doubt_at or 0) + klass.window_ns:
+            return 0
+        return max(0, attempt.due[0] - now)
+
     def step(self, now: int, events: Iterable[Event]) -> list[Effect]:
         """Take in all that has come, ask the module once, and give what is to be done, in order."""
         effects: list[Effect] = []
@@ -125,6 +147,10 @@
                     self._began(attempt, value, told, effects)
                 case Held(attempt):
                     self._held(attempt, now, told)
+                case Recalled(attempt) if attempt in self.attempts:
+                    # Guards the node's record: that nothing was sent says nothing of it.
+                    gone = self.attempts[attempt].request.over
+                    self._ended(Ended(attempt, Ending.CANCELLED if gone else Ending.MOOT), now, told, effects)
                 case Written(attempt):
                     if self.observer is not None:
                         self.observer.written(attempt, now)
@@ -251,6 +277,8 @@
             return  # late news of what has ended
         request, news = attempt.request, attempt.news
         request.last = event.ending
+        if event.ending not in NEVER_RAN and request.doubt_at is None:
+            request.doubt_at = attempt.sent_at
         if self.observer is not None:
             self.observer.returned(event.attempt, now, event.ending)
         if not request.over and event.ending is Ending.OK:
@@ -302,6 +330,11 @@
 
     def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
         entries = []
+        if kind is not ListKind.DELTA:  # a whole list: who is not on it is gone
+            named = {news.uid for news in nodes}
+            for gone, known in self.nodes.items():
+                if known.uid not in named:
+                    self.nodes[gone] = replace(known, state=NodeState.GONE)
         for news in nodes:
             number = self.node_numbers.get(news.uid)
             if number is None:
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -17,7 +17,7 @@
 from runloft.core.model import Event, Listed, NodeNews
 from runloft.decisions.contract import ListKind, NodeState
 from runloft.net.sockets import close, connect, connecting
-from runloft.net.timing import pause, within
+from runloft.net.timing import pause
 
 log = structlog.get_logger()
 STATES = {
@@ -25,9 +25,13 @@
     "terminating": NodeState.DRAINING,
     "terminated": NodeState.GONE,
 }
-SILENCE_NS = 5_000_000_000  # an empty line comes every 2 s
-BACKOFF_S, BACKOFF_MOST_S = 0.05, 1.0
-CONNECT_S = 1.0  # the agent is on this machine: it is up or it is not
+# What is missed counts as told 6 s after a watch fell silent, or after discovery could be reached again:
+# silence, the longest wait before the next call and that call have to fit in.
+SILENCE_NS = 2_500_000_000  # an empty line comes every 2 s
+ANSWER_S = 0.4  # the agent is on this machine and answers at once; what it has when it is back counts at once
+ASKED_ANSWER_S = 2.0  # where lists are asked for, calls are served in turn
+BACKOFF_S, BACKOFF_MOST_S = 0.05, 0.2
+ASKED_BACKOFF_MOST_S = 1.0
 LINE_LIMIT = 4 << 20  # of one message: far more than a list of a few thousand nodes takes
 STRING = re.compile(rb'"(?:[^"\\]|\\.)*"')
 # What discovery may do to a watch; whatever it is, the watch is opened again.
@@ -120,8 +124,9 @@
         post: Callable[[Event], None],
         deadlines: Deadlines,
         clock: Callable[[], int],
+        asked: bool = False,
     ) -> None:
-        self.where, self.rev, self.zones = where, rev, zones
+        self.where, self.rev, self.zones, self.asked = where, rev, zones, asked
         self.post, self.deadlines, self.clock = post, deadlines, clock
         self._round = anyio.CancelScope()
 
@@ -129,6 +134,7 @@
         """Watch at another address from now on, without waiting for what ends at the old one."""
         if where != self.where:
             self.where = where
+            self.rev = 0  # another discovery counts by itself: its whole list is wanted
             self._round.cancel()
 
     async def run(self) -> None:
@@ -148,16 +154,18 @@
         except WATCH_ERRORS as error:
             log.info("watch ended", error=repr(error), rev=self.rev)
         lasted = self.clock() - before[1] > SILENCE_NS
-        wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, BACKOFF_MOST_S)
+        most = ASKED_BACKOFF_MOST_S if self.asked else BACKOFF_MOST_S
+        wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, most)
         await pause(self.deadlines, self.clock, wait)
         return wait
 
     async def _watch(self) -> None:
         sock = connecting()
-        silence = self.deadlines.add(self.clock() + SILENCE_NS, lambda: close(sock))
+        # Guards against an agent that takes a call and is silent: back again, it may never answer this one.
+        answer_ns = int((ASKED_ANSWER_S if self.asked else ANSWER_S) * 1e9)
+        silence = self.deadlines.add(self.clock() + answer_ns, lambda: close(sock))
         try:
-            with within(self.deadlines, self.clock, CONNECT_S):
-                await connect(sock, self.where)
+            await connect(sock, self.where)
             protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
             request = h11.Request(
                 method="GET",
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -85,7 +85,7 @@
         """All that is read goes on to the parser at once."""
         return 64 << 10
 
-    def parts(self, order: Dispatch) -> list[bytes]:
+    def parts(self, order: Dispatch, wait_ns: int) -> list[bytes]:
         """Give the request: head and body as parts for a gathered write."""
         payload = order.payload
         assert isinstance(payload, HttpPayload)
@@ -94,7 +94,7 @@
         self.stream = self.not_ran = None
         headers = [
             (b"Host", self.place[1].encode()),
-            (b"X-Expires-In-Ms", b"%d" % max(1, order.wait_ns // 1_000_000)),
+            (b"X-Expires-In-Ms", b"%d" % max(1, wait_ns // 1_000_000)),
             *payload.headers,
         ]
         if payload.body or payload.method in (b"PUT", b"POST"):
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -11,7 +11,7 @@
 
 from runloft.config.settings import Config, address
 from runloft.core.deadlines import Deadlines, Mark
-from runloft.core.model import Dispatch, Ended, Event, NodeNews, Written
+from runloft.core.model import Dispatch, Ended, Event, NodeNews, Recalled, Written
 from runloft.decisions.contract import Ending, NodeState
 from runloft.net import resp2
 from runloft.net.sockets import Budget, Inbox, Outbox, close, connect, connecting, is_quiet
@@ -60,11 +60,12 @@
         config: Config,
         *,
         kind: "type[Connection]",
+        may_begin: Callable[[int, int], int],
         part: int = 4,
         endpoint: Callable[[NodeNews], str] = lambda news: news.endpoint,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
-        self.kind, self.part, self.endpoint = kind, part, endpoint
+        self.kind, self.part, self.endpoint, self.may_begin = kind, part, endpoint, may_begin
         self.replies = Budget(0)
         self.configure(config)
         self.idle: dict[tuple[str, str], list[Connection]] = {}
@@ -83,7 +84,10 @@
 
     def dispatch(self, order: Dispatch, patient: bool = True) -> None:
         """Write an attempt on a free connection, or on a new one."""
-        self.waiting.pop(order.attempt, None)
+        # Guards nodes and descriptors: who waited here may have been given up, and needs no connection.
+        if self.waiting.pop(order.attempt, None) and not self.may_begin(order.attempt, self.clock()):
+            self.post(Recalled(order.attempt))
+            return
         place = (order.node.uid, self.endpoint(order.node))
         rested = self.clock() - REST_NS
         # The one used last, so that the others grow old, but none that may still get what nobody asked for.
@@ -176,8 +180,8 @@
         """How much may be read and not understood yet."""
         return self.link.reply_most + SHORT
 
-    def parts(self, order: Dispatch) -> list[bytes]:
-        """Give an attempt as parts for a gathered write."""
+    def parts(self, order: Dispatch, wait_ns: int) -> list[bytes]:
+        """Give an attempt that is waited for so long as parts for a gathered write."""
         raise NotImplementedError
 
     async def read(self) -> None:
@@ -196,14 +200,24 @@
         """Carry an attempt."""
         self.order = order
         self.link.out[order.attempt] = self
+        if self.connected:
+            self._begin(order)
+
+    def _begin(self, order: Dispatch) -> None:
+        """Write an attempt's first bytes, if it may still leave."""
+        link = self.link
+        wait = link.may_begin(order.attempt, link.clock())
+        if not wait:
+            self.finished(Recalled(order.attempt))
+            return
         try:
-            self.outbox.push(*self.parts(order))
+            self.outbox.push(*self.parts(order, wait))
         except ValueError as error:  # a request that this wire can't say
             log.warning("attempt can't be written", node=self.place[0], error=str(error))
+            self.connected = False  # nothing of it has left
             self.end()
             return
-        if self.connected:
-            self._flush()
+        self._flush()
 
     def _left(self) -> None:
         """Tell that an attempt's last byte has left, where accounts are kept."""
@@ -241,7 +255,8 @@
             await connect(self.sock, address(self.place[1]))
             link.deadlines.discard(self.mark)
             self.connected = True
-            self._flush()
+            if self.order is not None:
+                self._begin(self.order)
             while not self.ended:
                 try:
                     if not self.inbox.receive(self.sock):
@@ -259,8 +274,10 @@
         finally:
             self.end()
 
-    def finished(self, ended: Ended, reusable: bool = True) -> None:
+    def finished(self, ended: Ended | Recalled, reusable: bool = True) -> None:
         """Post an attempt's end; the connection waits for the next one, or closes."""
+        # Guards the next request: behind the rest of this one, it would get what this one is answered.
+        reusable = reusable and not self.outbox.parts
         self.order, link = None, self.link
         self._release()
         link.out.pop(ended.attempt, None)
@@ -295,11 +312,11 @@
 class RespConnection(Connection):
     """A connection that speaks RESP2."""
 
-    def parts(self, order: Dispatch) -> list[bytes]:
+    def parts(self, order: Dispatch, wait_ns: int) -> list[bytes]:
         """Give the command."""
         payload = order.payload
         assert isinstance(payload, RespPayload)
-        return payload.parts(order.wait_ns)
+        return payload.parts(wait_ns)
 
     async def read(self) -> None:
         """Read a reply once it is whole; the first whole one stands, whatever comes behind it."""
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -182,6 +182,7 @@
             clock,
             config,
             kind=RespConnection,
+            may_begin=core.may_begin,
             part=4 if config.objects else 2,  # the other half of the descriptors is the clients'
         )
         fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, config)]
@@ -205,12 +206,21 @@
                 clock,
                 config,
                 kind=HttpConnection,
+                may_begin=core.may_begin,
                 part=8,
                 endpoint=partial(object_endpoint, config.objects),
             )
         runner.post(listed(config.known, config.zones, ListKind.CACHED))
         rev = int(config.known.get("rev", 0) or 0)
-        watch = Watch(config.discovery, rev, config.zones, runner.post, deadlines, clock)
+        watch = Watch(
+            config.discovery,
+            rev,
+            config.zones,
+            runner.post,
+            deadlines,
+            clock,
+            asked=config.settings.list_is_asked_for,
+        )
         stopped = anyio.Event()
         group.start_soon(runner.run)
         group.start_soon(watch.run)
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -5,6 +5,7 @@
 from itertools import islice
 
 import anyio
+import anyio.lowlevel
 
 GATHER = 64  # parts in one sendmsg
 ABOVE_HEAD = 4096
@@ -120,6 +121,8 @@
 
 async def connect(sock: socket.socket, where: tuple[str, int]) -> None:
     """Wait until it is connected; OSError if that fails."""
+    # Guards this wait: who waited on a closed socket of the same number wakes first, and takes back its own.
+    await anyio.lowlevel.checkpoint()
     try:
         sock.connect(where)
     except BlockingIOError:
--- /dev/null
+++ b/tests/test_crossings.py
@@ -0,0 +1,264 @@
+"""What comes between a decision and its first byte on the wire: real sockets, crossings forced."""
+
+import socket
+
+import anyio
+import pytest
+
+from runloft.config.settings import config_from_json
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import Ask, Left, Listed, NodeNews, Taken
+from runloft.core.reducer import Core
+from runloft.decisions.contract import ListKind, NodeState
+from runloft.net import links
+from runloft.net.links import NodeLink, RespConnection, RespPayload
+from runloft.net.runner import Runner
+from runloft.net.sockets import close, connect, connecting
+from tests.driver import MS, SECOND
+from tests.standins import config, settings
+
+ID = b"9b1f03aa5c7e2d41"
+BUSY = b"-BUSY\r\n"
+
+
+class Asker:
+    def __init__(self):
+        self.replies = []
+
+    def answer(self, reply):
+        self.replies.append(reply)
+
+
+async def until(check):
+    """Let the tasks run until something has become true."""
+    with anyio.fail_after(10):
+        while not (got := check()):
+            await anyio.sleep(0.001)
+    return got
+
+
+class Scene:
+    """Core, runner and link with a clock that the test moves; a connection is up when the test lets it be."""
+
+    def __init__(self, monkeypatch, group, **extra):
+        self.now, self.up, deadlines = 100 * SECOND, anyio.Event(), Deadlines()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.settimeout(10)
+        self.where = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        conf = config_from_json(config("127.0.0.1:1", [], **extra))
+        self.core = Core(conf.settings, 1, self.now, deadlines)
+        self.runner = Runner(self.core, deadlines, lambda: self.now)
+        self.link = self.runner.links["resp"] = NodeLink(
+            group,
+            self.runner.post,
+            deadlines,
+            lambda: self.now,
+            conf,
+            kind=RespConnection,
+            may_begin=self.core.may_begin,
+        )
+
+        async def held_up(sock, where):
+            await self.up.wait()
+            await connect(sock, where)
+
+        monkeypatch.setattr(links, "connect", held_up)
+        self.tell()
+
+    def tell(self, kind=ListKind.FULL, **more):
+        news = NodeNews(**{"uid": "s-1", "endpoint": self.where, "shard": 0} | more)
+        self.runner.post(Listed(kind, (news,)))
+        self.runner.turn()
+
+    def take(self, deadline=2000):
+        asker = Asker()
+        payload = RespPayload((b"IO.IN", b"7f3a9c21e0b4d655", ID), b"d=", b"")
+        self.runner.post(Taken(asker, Ask(0, 0, 1, 1.0, deadline * MS, 0, payload, id=ID)))
+        self.runner.turn()
+        return asker
+
+    def turn(self, after=0):
+        self.now += after * MS
+        self.runner.turn()
+
+    async def node(self):
+        conn, _ = await anyio.to_thread.run_sync(self.listener.accept)
+        conn.settimeout(10)
+        return conn
+
+    async def read(self, conn):
+        return await anyio.to_thread.run_sync(conn.recv, 4096)
+
+    def close(self):
+        self.link.close()
+        self.listener.close()
+
+
+def play(monkeypatch, story, **extra):
+    async def run():
+        async with anyio.create_task_group() as group:
+            scene = Scene(monkeypatch, group, **extra)
+            try:
+                await story(scene)
+            finally:
+                scene.close()
+            group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+LIMITS = {"Limits": settings()["Limits"] | {"Cancel": False}}
+CROSSINGS = {
+    "its client leaves": lambda scene, asker: scene.runner.post(Left(asker)),
+    "its node is to drain": lambda scene, _: scene.tell(ListKind.DELTA, state=NodeState.DRAINING),
+    "its node is gone": lambda scene, _: scene.tell(uid="s-2", endpoint="127.0.0.1:1"),
+    "its node starts anew": lambda scene, _: scene.tell(ListKind.DELTA, started_ns=scene.now),
+    "its node moves": lambda scene, _: scene.tell(ListKind.DELTA, endpoint="127.0.0.1:1"),
+}
+
+
+@pytest.mark.parametrize("crossing", CROSSINGS)
+def test_nothing_leaves_on_a_connection_that_comes_up_too_late(monkeypatch, crossing):
+    """What was decided at the hand-over went out up to a connect time-out later, whatever came between."""
+
+    async def story(scene):
+        asker = scene.take()
+        assert scene.core.attempts
+        CROSSINGS[crossing](scene, asker)
+        scene.turn(100)
+        scene.up.set()
+        conn = await scene.node()
+        await until(lambda: scene.runner.events)  # the attempt is recalled
+        scene.turn()
+        conn.setblocking(False)
+        with pytest.raises(BlockingIOError):
+            conn.recv(1)
+        assert 1 not in scene.core.attempts and 1 not in scene.link.out
+        # Nothing of it says anything of the node, and what is still wanted is asked again or waits.
+        node = next(iter(scene.core.scheduler.nodes.values()))
+        assert node.failed == 0 and not node.down_since
+        assert ("leaves" in crossing) == (not scene.core.requests) and not asker.replies
+
+    play(monkeypatch, story, **LIMITS)
+
+
+def test_an_attempt_waits_no_longer_than_its_client_once_it_leaves(monkeypatch):
+    async def story(scene):
+        scene.take(2000)
+        scene.turn(150)
+        scene.up.set()
+        conn = await scene.node()
+        assert b"d=1850" in await scene.read(conn)
+
+    play(monkeypatch, story)
+
+
+@pytest.mark.parametrize("after, leaves", [(100, True), (460, False)])
+def test_a_repeat_whose_window_has_closed_does_not_leave(monkeypatch, after, leaves):
+    """A keyed request that may have run: its repeat counts where it leaves, not where it was decided."""
+    classes = [c | {"Effect": "dedup", "Window": 500 * MS} for c in settings()["Classes"]]
+    limits = settings()["Limits"] | {"ConnectTimeout": 1000 * MS}
+
+    async def story(scene):
+        scene.take()
+        scene.up.set()
+        first = await scene.node()
+        assert ID in await scene.read(first)
+        scene.up = anyio.Event()
+        first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        first.close()  # a reset: it may have run
+        await until(lambda: scene.runner.events)
+        scene.turn(50)
+        assert len(scene.core.attempts) == 1  # the repeat, while its connection comes up
+        scene.turn(after)
+        scene.up.set()
+        second = await scene.node()
+        if leaves:
+            assert ID in await scene.read(second)
+        else:
+            await until(lambda: scene.runner.events)
+            second.setblocking(False)
+            with pytest.raises(BlockingIOError):
+                second.recv(1)
+
+    play(monkeypatch, story, Classes=classes, Limits=limits)
+
+
+def test_a_connection_with_half_a_request_on_it_carries_no_other(monkeypatch):
+    """A node that answers before it has read all: what follows on the connection would answer the rest."""
+
+    async def story(scene):
+        scene.listener.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 4096)
+        scene.up.set()
+        body = b"x" * (8 << 20)  # more than the system takes before the node reads
+        payload = RespPayload((b"IO.OUT", b"7f3a9c21e0b4d655", ID, body), b"d=", b"")
+        scene.runner.post(Taken(Asker(), Ask(0, 0, 1, 1.0, 2000 * MS, 0, payload, id=ID)))
+        scene.turn()
+        conn = await scene.node()
+        connection = next(iter(scene.link.open))
+        await until(lambda: connection.writing)
+        conn.sendall(BUSY)
+        await until(lambda: scene.runner.events)
+        assert not scene.link.idle and connection.ended
+
+    play(monkeypatch, story)
+
+
+def test_a_wait_on_a_closed_socket_takes_nothing_from_the_next_of_its_number():
+    """Two sockets of one number in one turn of the loop: the first waiter took the second one's wake-up."""
+
+    async def run():
+        full, go, done = socket.socket(), anyio.Event(), []
+        full.bind(("127.0.0.1", 0))
+        full.listen(0)
+        fillers = [connecting() for _ in range(4)]
+        for filler in fillers:
+            filler.connect_ex(full.getsockname())
+        first = connecting()
+
+        async def wait():
+            try:
+                await connect(first, full.getsockname())
+            except (OSError, anyio.ClosedResourceError):
+                done.append("closed")
+
+        async def follow(live):
+            await go.wait()
+            second = connecting()
+            assert second.fileno() == number
+            with anyio.move_on_after(2):
+                await connect(second, live.getsockname())
+                done.append("connected")
+            second.close()
+
+        with socket.create_server(("127.0.0.1", 0)) as live:
+            number = first.fileno()
+            async with anyio.create_task_group() as group:
+                group.start_soon(wait)
+                group.start_soon(follow, live)
+                await anyio.wait_all_tasks_blocked()
+                go.set()
+                close(first)
+        for sock in (full, *fillers):
+            sock.close()
+        assert sorted(done) == ["closed", "connected"]
+
+    anyio.run(run)
+
+
+def test_the_time_of_a_hand_over_is_the_runners(monkeypatch):
+    """An attempt that waits for a descriptor is asked about again before it takes one."""
+
+    async def story(scene):
+        scene.link.most = 0
+        asker = scene.take()
+        assert scene.link.waiting
+        scene.link.most = 8
+        scene.runner.post(Left(asker))
+        scene.turn()
+        scene.turn(10)
+        assert not scene.link.waiting and not scene.link.open
+
+    play(monkeypatch, story, **LIMITS)
+
+
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -3,12 +3,15 @@
 import json
 import os
 import re
-from itertools import count
+import socket
+from itertools import count, pairwise
 from pathlib import Path
 
+import anyio
 import pytest
 
-from runloft.net.discovery import Messages
+from runloft.core.deadlines import Deadlines
+from runloft.net.discovery import Messages, Watch
 from tests.standins import Discovery, Program, RespNode, config, entry, until
 
 OK = b"$2\r\nok\r\n"
@@ -43,6 +46,104 @@
         Messages().receive(bad)
 
 
+class Agent:
+    """Discovery on a real socket, its calls noted by the clock that the test moves."""
+
+    def __init__(self):
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.setblocking(False)
+        self.where, self.calls, self.clients, self.answer = self.sock.getsockname(), [], [], b""
+
+    def look(self, now):
+        try:
+            client, _ = self.sock.accept()
+        except BlockingIOError:
+            return
+        client.settimeout(5)
+        self.calls.append((now, client.recv(4096).split()[1]))
+        self.clients.append(client)
+        client.sendall(self.answer)
+
+    def close(self):
+        for sock in (self.sock, *self.clients):
+            sock.close()
+
+
+HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+LINE = json.dumps({"rev": 42, "all": False, "targets": []}).encode() + b"\n"
+TOLD_S, GRACE_S, CALL_S = 6.0, 1.0, 2.0  # PROTOCOL, STANDING: what is missed counts as told, sends may go on
+
+
+def watched(agents, seconds, asked=False, then=lambda now, watch: None):
+    """Let a watch run by a clock of its own, in steps of 10 ms."""
+
+    async def run():
+        now, deadlines, posted = 0.0, Deadlines(), []
+        watch = Watch(agents[0].where, 41, (), posted.append, deadlines, lambda: int(now * 1e9), asked)
+        async with anyio.create_task_group() as group:
+            group.start_soon(watch.run)
+            while now < seconds:
+                for _ in range(8):
+                    await anyio.sleep(0)
+                await anyio.sleep(0.0003)
+                for agent in agents:
+                    agent.look(now)
+                then(now, watch)
+                now += 0.01
+                for item in deadlines.sweep(int(now * 1e9)):
+                    item()
+            group.cancel_scope.cancel()
+        return posted
+
+    try:
+        return anyio.run(run)
+    finally:
+        for agent in agents:
+            agent.close()
+
+
+@pytest.mark.parametrize("asked", [False, True])
+@pytest.mark.parametrize("answer", [b"", HEAD[:9], HEAD, HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE)])
+def test_a_silent_agent_is_called_again_in_time_for_what_counts_as_told(answer, asked):
+    """Silence was noticed after 5 s, of a call that nobody answered too; then came up to 1 s of backoff."""
+    agent = Agent()
+    agent.answer = answer
+    watched([agent], 14, asked)
+    gaps = [b - a for (a, _), (b, _) in pairwise(agent.calls)]
+    # Back at the worst moment, just behind a call that it never answers: the next one has its answer in time.
+    assert max(gaps) + CALL_S <= TOLD_S
+    if not asked and not answer:  # the agent answers at once, and what it has at its return counts at once
+        assert max(gaps) <= 0.7 * GRACE_S
+    elif answer:  # a list of nothing new may leave two seconds to the next line
+        assert min(gaps) > CALL_S
+
+
+def test_a_refusing_discovery_is_called_again_within_a_drains_grace():
+    """Backoff of up to 1 s sat out discovery's return; sends to what drains end 1 s after it."""
+    agent, late, back = Agent(), Agent(), 6.0
+    where = late.where
+    late.sock.close()
+
+    def then(now, watch):
+        if now >= back and late.sock.fileno() < 0:
+            late.sock = socket.create_server(where)
+            late.sock.setblocking(False)
+        agent.look(now)
+
+    late.look = lambda now: late.sock.fileno() >= 0 and Agent.look(late, now)
+    watched([late, agent], 8, then=then)
+    assert late.calls and late.calls[0][0] - back <= 0.5 * GRACE_S
+
+
+def test_another_discovery_is_asked_for_its_whole_list():
+    """Its numbers are its own: 'changed since 42' of the old one may leave out what the old one never had."""
+    old, new = Agent(), Agent()
+    old.answer = HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE)
+    watched([old, new], 0.5, then=lambda now, watch: watch.move(new.where) if now > 0.2 else None)
+    assert [target for _, target in old.calls] == [b"/registry/instances?stream=1&index=41"]
+    assert new.calls[0][1] == b"/registry/instances?stream=1&index=0"
+
+
 IDS = count(1)
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -127,7 +127,7 @@
 def test_a_link_without_a_descriptor_to_spare_says_nothing_of_the_node():
     deadlines, posted = Deadlines(), []
     conf = config_from_json(config("127.0.0.1:1", []) | {"limits": {"sockets": 32}})
-    link = NodeLink(None, posted.append, deadlines, lambda: 0, conf, kind=None)
+    link = NodeLink(None, posted.append, deadlines, lambda: 0, conf, kind=None, may_begin=None)
     link.most = 0
     link.dispatch(Dispatch(1, NodeNews("s-1", "127.0.0.1:2", 0), None, SECOND))
     assert posted == [] and list(link.waiting) == [1] and len(deadlines) == 1
