See clients leave that are not read; close behind a last answer without a reset

Cause, by reading: fronts/resp.py reads nothing of a client whose pipeline is full, whose answers wait, that is slowed down, has quit or lost its framing (Client._read, _rest, _linger), so its close went unseen and its held requests were still sent on; such clients are looked at every 40 ms (POLLRDHUP) and what they asked is called off. A connection was closed in the very turn in which its last answer was written, once the program winds down (_written, close_if_idle): a request that crosses it makes a reset, which can take the answer. Within 0.3 s of an answer only the sending side ends, nothing more is read, and the close follows the client's, after 0.1 s at most. AcceptingFront.make_room took the freshest connections first where all others had spoken; none younger than 0.1 s now. wind_down closed a listener though its queue was not taken, and waited without end for a client that stays. SIGTERM before the receiver is there, or behind it, ended the process by the signal; now with 0.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -80,6 +80,7 @@
     )
     # Guards the start: a reload that comes before there is anything to reload must not end the program.
     signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # before it serves there is nothing to wind down
     if not options.config:
         print("runloft: no configuration: give --config or set ROUTER_CONFIG", file=sys.stderr)
         return 1
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -3,6 +3,9 @@
 import math
 import socket
 from collections import deque
+from collections.abc import Iterator
+from contextlib import contextmanager
+from typing import Any
 
 import anyio
 import structlog
@@ -13,7 +16,7 @@
 from runloft.fronts.accepting import AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
-from runloft.net.sockets import Inbox, Outbox, close, nothing_to_read
+from runloft.net.sockets import Inbox, Outbox, close, half_closed, nothing_to_read
 from runloft.net.timing import pause
 
 log = structlog.get_logger()
@@ -26,7 +29,10 @@
 SPEAK_NS = 2_600_000_000  # a command is whole so long after its first byte; the first one, after connecting
 IDLE_NS, CROWD_NS = 15_000_000_000, 2_000_000_000  # a rest between requests; and where there are many
 STUCK_NS = 5_000_000_000  # a client that reads nothing of its answers for so long is gone
-LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last error
+LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last answer
+STOP_LINGER_NS = 100_000_000  # the same once the program is about to end
+FRESH_NS = 100_000_000  # after connecting, or an answer: so long a client is not parted with to make room
+LOOK_NS = 40_000_000  # between looks at clients that are not read: who has left wants no attempt 0.1 s later
 FREE_ERRORS, MOST_ERRORS = 4, 24  # in a row on one connection: before it is slowed down, and closed
 SLOW_S, SLOWEST_S = 0.01, 0.25
 FAILED = b"-ERR failed\r\n"
@@ -75,7 +81,8 @@
         self.slots: deque[Slot] = deque()
         self.room: anyio.Event | None = None
         self.reading = anyio.CancelScope()
-        self.ended = self.writing = self.closing = self.lingering = self.half_read = self.spoke = False
+        self.ended = self.writing = self.half_read = self.spoke = False
+        self.closing = self.parting = self.lingering = False  # parting: nothing is wrong, nothing is owed
         self.errors = self.buffered = self.unsent = 0  # unsent: bytes of answers behind one that is owed
         # Last whole command or answer, last byte that it took, and since when a command is half read.
         self.used_at = self.moved_at = self.half_since = front.clock()
@@ -96,7 +103,8 @@
         while not self.ended and not self.closing:
             if len(self.slots) >= PIPELINED or self.outbox.size > UNWRITTEN:
                 self.room = anyio.Event()
-                await self.room.wait()
+                with self._unread():
+                    await self.room.wait()
             elif self._commands():
                 # Guards the other clients: a flood on one connection gets one turn like all others.
                 slowness = self._slowness()
@@ -189,7 +197,17 @@
         return min(SLOWEST_S, SLOW_S * 2.0 ** min(over, 10)) if over > 0 else 0.0
 
     async def _rest(self, seconds: float) -> None:
-        await pause(self.front.deadlines, self.front.clock, seconds)
+        with self._unread():
+            await pause(self.front.deadlines, self.front.clock, seconds)
+
+    @contextmanager
+    def _unread(self) -> Iterator[None]:
+        """Guard nodes against requests of a client that is not read, and so can't be seen to leave."""
+        self.front.look_at(self)
+        try:
+            yield
+        finally:
+            self.front.unread.discard(self)
 
     def flush(self) -> None:
         """Write the answers whose turn has come."""
@@ -240,8 +258,14 @@
 
     def close_if_idle(self) -> None:
         """Close between requests; one that is already here is read first."""
-        if not self.ended and (self.lingering or (self.is_idle() and nothing_to_read(self.sock))):
+        if self.ended or self.closing or not (self.is_idle() and nothing_to_read(self.sock)):
+            return
+        if self.front.clock() - self.used_at >= LINGER_NS:
             self.end()
+            return
+        # Guards the last answer: a request that comes just now would turn a close into a reset that takes it.
+        self.closing = self.parting = True
+        self.reading.cancel()
 
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
@@ -273,7 +297,11 @@
             return
         self.lingering, left, inbox = True, LINGER_BYTES, self.inbox
         self.sock.shutdown(socket.SHUT_WR)
-        mark = self.front.deadlines.add(self.front.clock() + LINGER_NS, self.end)
+        patience = STOP_LINGER_NS if self.front.stopping else LINGER_NS
+        if self.parting:  # what comes now is not read: its client sends it again elsewhere
+            await self._rest(patience / 1e9)
+            return
+        mark = self.front.deadlines.add(self.front.clock() + patience, self.end)
         try:
             while left > 0:
                 inbox.start = inbox.end = 0
@@ -298,6 +326,7 @@
         self.front.buffers -= self.buffered
         close(self.sock)
         self.front.clients.discard(self)
+        self.front.unread.discard(self)
         if self.room:
             self.room.set()
         for slot in self.slots:
@@ -311,6 +340,26 @@
 
     buffers = 0  # bytes of all inboxes
     buffers_most = 1 << 20
+    looking = False  # whether a look at those that are not read is due
+
+    def __init__(self, *parts: Any) -> None:
+        self.unread: set[Client] = set()  # clients that are not read for now
+        super().__init__(*parts)
+
+    def look_at(self, client: Client) -> None:
+        """Look from time to time whether this client is still there."""
+        self.unread.add(client)
+        if not self.looking:
+            self.looking = True
+            self.deadlines.add(self.clock() + LOOK_NS, self._look)
+
+    def _look(self) -> None:
+        gone = half_closed(client.sock for client in self.unread)
+        for client in [client for client in self.unread if client.sock.fileno() in gone]:
+            client.end()
+        self.looking = bool(self.unread)
+        if self.looking:
+            self.deadlines.add(self.clock() + LOOK_NS, self._look)
 
     def configure(self, config: Config) -> None:
         """Go by these names and limits."""
@@ -344,7 +393,9 @@
 
     def spared(self) -> list[Client]:
         """Those whose close costs nobody an answer, the least useful first."""
-        idle = [c for c in self.clients if c.lingering or (not c.slots and not c.outbox.size)]
+        # Guards requests on their way by new connections, and last answers: a reset would lose either.
+        old = self.clock() - FRESH_NS
+        idle = [c for c in self.clients if c.lingering or not (c.slots or c.outbox.size or c.used_at > old)]
         return sorted(idle, key=lambda c: (not c.lingering, c.spoke and not c.errors, c.used_at))
 
     def stop(self) -> None:
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -30,6 +30,7 @@
 GRACE_S = 0.5  # after SIGTERM new connections go on coming for a while
 LONGEST_NS = 3_000_000_000  # SIGKILL comes 0.7 s after the longest deadline, which counts as this at most
 FINISH_NS = 350_000_000  # of those 0.7 s, for what is still open; the rest is for the way out
+LAST_NS = 250_000_000  # for clients to read and close once all is answered
 LATE_NS = 15_000_000
 
 
@@ -162,7 +163,8 @@
     signals = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with signals as received:
         await _serve(config, path, runner, received, agreeing)
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)  # what is left is the way out
+        # Guards the exit code: what is left is the way out, whatever signal still comes.
+        signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
     log.info("stopped", name=config.name)
 
 
@@ -281,7 +283,9 @@
     ends = clock() + min(longest, LONGEST_NS)
     await pause(deadlines, clock, GRACE_S)
     for front, listener in zip(fronts, listeners, strict=True):
-        front.accept_waiting(listener)  # what the kernel has accepted may carry a request
+        # What the kernel has accepted may carry a request: where there is no room for it yet, it waits.
+        while not front.accept_waiting(listener) and clock() < ends:
+            await pause(deadlines, clock, POLL_S)
         close(listener)
     while core.by_asker or any(front.clients for front in fronts):
         if clock() >= ends:
@@ -289,4 +293,7 @@
                 front.stop()
         if clock() >= ends + FINISH_NS:
             runner.post(Closing())
+        if clock() >= ends + FINISH_NS + LAST_NS:
+            log.warning("connections left at the end", clients=sum(len(front.clients) for front in fronts))
+            return  # all is answered; who reads slowly, or goes on sending, is not waited for until SIGKILL
         await pause(deadlines, clock, POLL_S)
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -1,7 +1,9 @@
 """Small parts that all links and fronts share: buffers, gathered writes, closing."""
 
+import select
 import socket
 from collections import deque
+from collections.abc import Iterable
 from itertools import islice
 
 import anyio
@@ -150,6 +152,14 @@
     return False
 
 
+def half_closed(socks: Iterable[socket.socket]) -> set[int]:
+    """Give the numbers of those whose other side ended its sending, whatever is still to be read."""
+    poll = select.poll()
+    for sock in socks:
+        poll.register(sock, select.POLLRDHUP)
+    return {number for number, _ in poll.poll(0)}
+
+
 def nothing_to_read(sock: socket.socket) -> bool:
     """Whether no byte is there that a close would lose."""
     try:
--- /dev/null
+++ b/tests/test_leaving.py
@@ -0,0 +1,207 @@
+"""Clients that leave unseen, and closes that bytes cross: real sockets, a clock that the test moves."""
+
+import json
+import os
+import signal
+import socket
+import subprocess
+import sys
+
+import anyio
+import pytest
+
+from runloft.config.settings import config_from_json
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import Left, Served, Taken
+from runloft.fronts.resp import LINGER_NS, PIPELINED, RespFront
+from tests.driver import MS, SECOND
+from tests.standins import Discovery, RespNode, config, entry
+from tests.test_discovery import read_command
+
+QUIT, BAD = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$3\r\nBAD\r\n"
+PING = b"*1\r\n$4\r\nPING\r\n"
+
+
+class Scene:
+    """The platform's front by itself; what it posts is kept, and answered where the test says so."""
+
+    def __init__(self, group):
+        self.now, self.deadlines, self.posted = 100 * SECOND, Deadlines(), []
+        conf = config_from_json(config("127.0.0.1:1", []))
+        self.front = RespFront(group, self.posted.append, self.deadlines, lambda: self.now, conf)
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.listener.setblocking(False)
+
+    def connect(self):
+        sock = socket.create_connection(self.listener.getsockname(), timeout=10)
+        self.front.accept_waiting(self.listener)
+        return sock
+
+    def taken(self):
+        return [event.asker for event in self.posted if isinstance(event, Taken)]
+
+    def left(self):
+        return [event.asker for event in self.posted if isinstance(event, Left)]
+
+    def wait(self, milliseconds):
+        self.now += int(milliseconds * MS)
+        for item in self.deadlines.sweep(self.now):
+            item()
+
+    async def until(self, check):
+        with anyio.fail_after(10):
+            while not check():
+                await anyio.sleep(0.001)
+
+
+def play(story):
+    async def run():
+        async with anyio.create_task_group() as group:
+            scene = Scene(group)
+            try:
+                await story(scene)
+            finally:
+                scene.listener.close()
+                for client in list(scene.front.clients):
+                    client.end()
+                group.cancel_scope.cancel()
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize(
+    "sent, open_",
+    [
+        (b"".join(read_command(0) for _ in range(PIPELINED + 9)), PIPELINED),  # a full pipeline
+        (read_command(0) + QUIT, 1),
+        (read_command(0) + b"?\r\n", 1),  # its framing is lost
+        (BAD * 9 + read_command(0) + BAD * 18, 1),  # slowed down
+    ],
+)
+def test_who_leaves_while_not_read_is_noticed_before_another_attempt(sent, open_):
+    """Nothing was read of such a client, so its close was not seen: its requests were still sent on."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(sent)
+        while len(scene.taken()) < open_:
+            await anyio.sleep(0.001)
+            scene.wait(0.1)
+        await scene.until(lambda: scene.front.unread)
+        sock.close()
+        for _ in range(9):  # within 0.1 s of the client's own time
+            scene.wait(10)
+        assert set(scene.left()) == set(scene.taken()) and not scene.front.clients
+        assert not scene.front.unread
+
+    play(story)
+
+
+def test_the_last_answer_is_followed_by_a_lingering_close():
+    """A request that crossed the close made a reset of it, behind an answer that was still on its way."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(read_command(0))
+        await scene.until(scene.taken)
+        scene.front.stop()
+        scene.taken()[0].answer(Served(b"ok"))
+        client = next(iter(scene.front.clients))
+        await scene.until(lambda: client.lingering)
+        sock.sendall(read_command(0))  # crosses the close
+        assert sock.recv(100) == b"$2\r\nok\r\n" and sock.recv(100) == b""
+        assert sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR) == 0  # no reset
+        scene.front.stop()  # as each turn of winding down does
+        await anyio.wait_all_tasks_blocked()
+        assert len(scene.taken()) == 1 and scene.front.clients  # and what crossed it is not sent on
+        sock.close()
+        scene.wait(40)
+        assert not scene.front.clients
+        rests = scene.connect()
+        await anyio.wait_all_tasks_blocked()
+        scene.wait(LINGER_NS / MS)
+        scene.front.stop()
+        await scene.until(lambda: not scene.front.clients)
+        rests.close()
+
+    play(story)
+
+
+def test_a_lingering_close_ends_whatever_its_client_does():
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(PING)
+        assert await anyio.to_thread.run_sync(sock.recv, 100) == b"+PONG\r\n"
+        scene.front.stop()
+        await scene.until(lambda: any(client.lingering for client in scene.front.clients))
+        scene.wait(101)
+        await scene.until(lambda: not scene.front.clients)
+        sock.close()
+
+    play(story)
+
+
+def test_room_is_made_by_those_that_rest_and_not_by_those_just_answered_or_come():
+    async def story(scene):
+        old, answered, fresh = scene.connect(), scene.connect(), None
+        await anyio.wait_all_tasks_blocked()
+        scene.wait(150)
+        answered.sendall(PING)
+        assert await anyio.to_thread.run_sync(answered.recv, 100) == b"+PONG\r\n"
+        fresh = scene.connect()
+        spared = scene.front.spared()
+        assert [client.sock.getpeername() for client in spared] == [old.getsockname()]
+        for sock in (old, answered, fresh):
+            sock.close()
+
+    play(story)
+
+
+HOOKED = """
+import os, signal, sys
+from runloft import cli
+from runloft.net import runner
+def hooked(call, stop):
+    def inner(*args, **more):
+        if stop is None or args[:1] == (stop,):
+            os.kill(os.getpid(), signal.SIGTERM)
+        return call(*args, **more)
+    return inner
+if sys.argv[1] == "start":
+    cli.load_config = hooked(cli.load_config, None)
+else:
+    log = runner.log
+    class Log:
+        warning = error = lambda *args, **more: None
+        info = hooked(lambda *args, **more: log.info(*args, **more), "stopped")
+    runner.log = Log
+sys.exit(cli.main(["serve"]))
+"""
+
+
+@pytest.mark.parametrize("where", ["start", "end"])
+def test_sigterm_ends_the_program_with_0_before_it_serves_and_on_its_way_out(tmp_path, where):
+    """Before and behind the time in which signals were received, their own end of the process stood."""
+
+
+    discovery, node = Discovery(), RespNode()
+    path = tmp_path / "config.json"
+    path.write_text(json.dumps(config(discovery.address, [entry(node.address)])))
+    process = subprocess.Popen(
+        [sys.executable, "-c", HOOKED, where],
+        env=os.environ | {"ROUTER_CONFIG": str(path)},
+        stderr=subprocess.PIPE,
+        text=True,
+    )
+    try:
+        if where == "end":
+            next(line for line in process.stderr if "serving" in line)
+            process.send_signal(signal.SIGTERM)
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.stderr.close()
+        discovery.close()
+        node.close()
+
+
--- a/tests/test_winding_down.py
+++ b/tests/test_winding_down.py
@@ -24,16 +24,19 @@
     def __init__(self, scene, every, busy):
         self.scene, self.every, self.busy = scene, every, busy
         self.clients, self.next_at, self.answers, self.stopped_at = {self}, 0, [], None
+        self.full_until, self.stays = 0, False
 
     def accept_waiting(self, listener):
+        assert listener.fileno() >= 0
         self.scene.closed_at = self.scene.now
+        return self.scene.now >= self.full_until
 
     def stop(self):
         self.stopped_at = self.stopped_at or self.scene.now
         self.close_if_idle()
 
     def close_if_idle(self):
-        if self.stopped_at and not self.scene.core.by_asker:
+        if self.stopped_at and not self.scene.core.by_asker and not self.stays:
             self.clients.clear()
 
     def turn(self):
@@ -104,6 +107,22 @@
     assert not scene.core.by_asker and len(asked) == len(set(asked))
 
 
+def test_what_the_kernel_accepted_waits_for_room_before_the_listener_closes():
+    """A full front took nothing, and the close of its listener reset what was queued there."""
+    scene = Scene(2500, every=70 * MS)
+    scene.front.full_until = SECOND + 1200 * MS
+    anyio.run(scene.end)
+    assert scene.closed_at == pytest.approx(SECOND + 1200 * MS, abs=30 * MS)
+
+
+def test_a_client_that_stays_keeps_the_program_no_longer_than_sigkill():
+    """One that reads nothing of its answers, or goes on sending, was waited for until it was killed."""
+    scene = Scene(2500, every=70 * MS)
+    scene.front.stays = True
+    assert anyio.run(scene.end) < 2500 * MS + KILL_NS
+    assert not scene.core.by_asker
+
+
 def test_a_client_that_leaves_lets_the_program_end_at_once():
     scene = Scene(30_000, every=60 * SECOND)
     scene.front.turn = scene.front.clients.clear
