--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -348,6 +348,8 @@
 
     def look_at(self, client: Client) -> None:
         """Look from time to time whether this client is still there."""
+        if client.ended:  # in the very turn in which it would have rested
+            return
         self.unread.add(client)
         if not self.looking:
             self.looking = True
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -97,6 +97,22 @@
     play(story)
 
 
+def test_who_sends_much_and_resets_is_no_fault_of_the_front():
+    """Its end came with the first answer, before the rest that its errors had earned: a look found no socket."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(BAD * 30)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+        sock.close()
+        await scene.until(lambda: not scene.front.clients)
+        await anyio.wait_all_tasks_blocked()
+        scene.wait(50)
+        assert not scene.front.unread
+
+    play(story)
+
+
 def test_the_last_answer_is_followed_by_a_lingering_close():
     """A request that crossed the close made a reset of it, behind an answer that was still on its way."""
 
