--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -98,7 +98,7 @@
 
 
 def test_who_sends_much_and_resets_is_no_fault_of_the_front():
-    """Its end came with the first answer, before the rest that its errors had earned: a look found no socket."""
+    """Its end came with the first answer, before the rest that its errors earned: a look found no socket."""
 
     async def story(scene):
         sock = scene.connect()
