--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -85,7 +85,9 @@
         entries = tuple(node.entry for node in self.nodes.values())
         self.hosts = [Host(fleet_settings(hosts, n, **more), nodes=entries) for n in range(hosts)]
         self.now, self.serial = 0, count()
-        self.due: list[tuple[int, int, Attempt, Ending]] = []  # when, in which order, what ends and how
+        # When, in which order, what ends and how; None: it comes to its node.
+        self.due: list[tuple[int, int, Attempt, Ending | None]] = []
+        self.together = 0  # connections come up so seldom: what left since the last time lands at once
         self.zones, self.cut_zone = 1, -1  # a zone that reaches no other: number of a host or node % zones
         self.connected: dict[tuple[int, int], int] = {}  # (host, node): when its connection was used last
         self.asked_at: dict[tuple[int, int], int] = {}  # (host, id): when its client asked
@@ -101,6 +103,18 @@
         for host in self.hosts:
             host.tell(NodeEntry(gone, old.entry.shard, NodeState.GONE), entry)
 
+    def restart(self, numbers) -> None:
+        """Let hosts begin anew: they know the list, and nothing of what they sent."""
+        newest = {node.entry.shard: node.entry for node in self.nodes.values()}
+        entries = tuple(newest.values())
+        for number in numbers:
+            old = self.hosts[number]
+            self.hosts[number] = Host(old.scheduler.settings, nodes=entries, at=self.now)
+            self.seen[number] = 0
+            self.hosts[number].next_id = old.next_id
+            for *_, attempt, _ in self.due:
+                attempt.over = attempt.over or attempt.host == number
+
     def run(self, seconds: float, load: float, flood: float = 0.0) -> None:
         """Let requests of one to three units come at random to the hosts, for so many units a second."""
         end = self.now + int(seconds * SECOND)
@@ -135,10 +149,20 @@
         """Whether nothing comes through between a host and a node."""
         return (number % self.zones == self.cut_zone) != (node % self.zones == self.cut_zone)
 
-    def _push(self, at: int, attempt: Attempt, ending: Ending) -> None:
+    def _land(self, attempt: Attempt) -> None:
+        node = self.nodes[attempt.node]
+        node.take(self.now, attempt)
+        if len(node.queue) == 1:
+            self._push(node.first_ends(self.now), attempt, Ending.OK)
+
+    def _push(self, at: int, attempt: Attempt, ending: Ending | None) -> None:
         heapq.heappush(self.due, (at, next(self.serial), attempt, ending))
 
-    def _due(self, attempt: Attempt, ending: Ending) -> None:
+    def _due(self, attempt: Attempt, ending: Ending | None) -> None:
+        if ending is None:
+            if not attempt.over:
+                self._land(attempt)
+            return
         if ending is Ending.OK:  # what was given up while it was served has cost the node its time
             node = self.nodes[attempt.node]
             node.queue.popleft()
@@ -165,10 +189,10 @@
             due = min(at + (send.timeout_ns or ticket.deadline), ticket.deadline)
             self._push(due, attempt, Ending.TIMEOUT)
             if not self.unreached(number, send.node):
-                node = self.nodes[send.node]
-                node.take(at, attempt)
-                if len(node.queue) == 1:
-                    self._push(node.first_ends(at), attempt, Ending.OK)
+                if self.together:
+                    self._push(-(-at // self.together) * self.together, attempt, None)
+                else:
+                    self._land(attempt)
             elif self.connected.pop((number, send.node), -IDLE) < at - IDLE:
                 self._push(at + CONNECT, attempt, Ending.CONNECT_FAILED)
         self.seen[number] = len(host.log)
--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -4,7 +4,7 @@
 
 from runloft.decisions.contract import Effect, Ending, Group, NodeEntry, NodeState
 from tests.driver import MS, NODE, SECOND, Host, klass, settings
-from tests.fleet import Fleet, fleet_settings
+from tests.fleet import CONNECT, Fleet, fleet_settings
 
 
 @pytest.mark.parametrize("load", [15.0, 27.0])
@@ -119,6 +119,25 @@
     assert fleet.nodes[1].worst <= most
 
 
+@pytest.mark.parametrize("together", [0, CONNECT])
+@pytest.mark.parametrize("fresh", [False, True])
+@pytest.mark.parametrize("load", [80.0, 200.0])
+@pytest.mark.parametrize("hosts", [1, 5, 20, 30, 200])
+def test_cold_nodes_get_from_all_hosts_together_what_they_bear(hosts, load, fresh, together):
+    """In a crowd, after restarts, with connections that come up together: nothing is left to chance."""
+    fleet = Fleet(hosts, nodes=3, capacity=100.0, seed=5)
+    if not fresh:
+        fleet.run(12, load)
+    fleet.together = together
+    fleet.replace(0, 10)
+    fleet.run(9, load)
+    if fresh:  # every other host begins anew, just when the second node has
+        fleet.replace(1, 11)
+        fleet.restart(range(0, hosts, 2))
+    fleet.run(9, load)
+    assert 0 < max(node.worst for node in fleet.nodes.values()) <= 0.9
+
+
 def sends_to_a_cold_node(latency):
     """Count those of a host that asks for a unit a second, in the first 14 s of a node."""
     host = Host(fleet_settings(200, 0, cold_units=0.0), at=SECOND)
