Notice on the object front too that a client which is read no further has left

Same cause as on the platform's front: behind 64 KiB that were read ahead ObjectClient._notice_close returned, so the close went unseen and the request was waited for to its end. A close behind more unread bytes than the kernel's receive buffer holds stays unseen on both fronts: its FIN has not come.

--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -25,7 +25,7 @@
 from runloft.decisions.contract import Ending
 from runloft.fronts.accepting import AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
-from runloft.net.sockets import Budget, close, nothing_to_read
+from runloft.net.sockets import Budget, close, half_closed, nothing_to_read
 from runloft.net.timing import Clock, pause, within
 from runloft.sharing.places import Place, SharedStore, StoreDownError
 
@@ -36,6 +36,7 @@
 HEAD_S = 2.6  # a request's head is whole by then, counted from connecting or from its first byte
 IDLE_S, BODY_S = 15.0, 5.0  # a connection may rest so long between requests; a body may take so long
 WRITE_S = 30.0  # a client that reads nothing of its answer for so long is gone
+LOOK_S = 0.04  # between looks at a client that is not read: once it has left nothing of it is sent on
 LINGER_S, LINGER_BYTES = 0.5, 256 << 10  # what is still read, and dropped, behind an early answer
 FREE_ERRORS, SLOW_S, SLOWEST_S = 4, 0.01, 0.25  # a connection that does little but err is read more slowly
 ONCE = (b"range", b"if-range", b"x-expires-in-ms")  # headers that may stand once at most
@@ -346,8 +347,9 @@
                     break
                 self.protocol.receive_data(data)
                 read += len(data)
-            else:
-                return
+            while read >= PIPELINED_BYTES and not half_closed((self.sock,)):
+                # Guards nodes against requests of a client that is read no further, and leaves.
+                await pause(self.front.deadlines, self.front.clock, LOOK_S)
         except (OSError, h11.ProtocolError, anyio.ClosedResourceError):
             pass
         self.gone = True
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -4,6 +4,7 @@
 import json
 import os
 import re
+import resource
 import signal
 import socket
 import subprocess
@@ -18,8 +19,8 @@
 class Listener:
     """A listening stand-in; each connection is served in a thread of its own."""
 
-    def __init__(self):
-        self.sock = socket.create_server(("127.0.0.1", 0))
+    def __init__(self, where=("127.0.0.1", 0)):
+        self.sock = socket.create_server(where)
         self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
         self.connections = []
         threading.Thread(target=self._accept, daemon=True).start()
@@ -64,9 +65,9 @@
 class Discovery(Listener):
     """The agent: a watch to which tests add lines."""
 
-    def __init__(self):
+    def __init__(self, where=("127.0.0.1", 0)):
         self.rev, self.watches, self.asked = 1, [], []
-        super().__init__()
+        super().__init__(where)
 
     def serve(self, conn, lines):
         self.asked.append(lines.readline())
@@ -234,13 +235,15 @@
 class Program:
     """runloft as the platform starts it."""
 
-    def __init__(self, raw, path, env=None):
+    def __init__(self, raw, path, env=None, descriptors=None):
         self.path = path
         path.write_text(json.dumps(raw))
         command = [sys.executable, "-m", "runloft", "serve"]
         self.process = subprocess.Popen(
             command, stderr=subprocess.PIPE, text=True, env=os.environ | {"ROUTER_CONFIG": str(path)}
         )
+        if descriptors:  # as the platform limits them
+            resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (descriptors, descriptors))
         self.ports, self.log = {}, []
         for line in self.process.stderr:
             self.log.append(line)
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -175,3 +175,26 @@
         program.close()
         for part in (node, discovery):
             part.close()
+
+
+def test_idle_clients_leave_descriptors_for_the_watch_and_for_nodes(tmp_path):
+    """While discovery is down its watch holds none: what it needs at the return must not be gone by then."""
+    node, discovery = RespNode(), Discovery()
+    where = discovery.sock.getsockname()
+    discovery.close()
+    raw = config(discovery.address, []) | {"limits": {"cores": 1.0, "memory_mb": 64, "sockets": 64}}
+    program = Program(raw, tmp_path / "config.json", descriptors=64)
+    idle, back = [], None
+    try:
+        idle = [program.connect() for _ in range(200)]  # the most of them wait in the kernel's queue
+        back = Discovery(where)
+        back.tell(*(entry(node.address, f"s-{n}", n) for n in range(60)))
+        client = program.connect()
+        for shard in range(60):  # more nodes than descriptors
+            until(lambda shard=shard: client.sendall(read_command(shard)) or client.recv(100) == OK)
+        assert not [line for line in program.log if "Too many open files" in line]
+        assert len(os.listdir(f"/proc/{program.process.pid}/fd")) < 64
+    finally:
+        program.close()
+        for part in (node, *([back] if back else []), *idle):
+            part.close()
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -2,6 +2,7 @@
 
 import http.client
 import re
+import select
 import socket
 import threading
 import time
@@ -255,6 +256,23 @@
     assert status == 503 and "Retry-After" in headers and len(old.log) == before
 
 
+def test_a_client_that_sends_much_ahead_and_leaves_frees_its_attempt(world):
+    """Behind 64 KiB that were read ahead its close went unseen, and its request was waited for to the end."""
+    world.ask("PUT", body=b"x")
+    server = world.holder()
+    server.held.clear()
+    with socket.create_connection(("127.0.0.1", world.program.ports["ObjectFront"])) as client:
+        client.sendall(b"GET %s HTTP/1.1\r\nHost: x\r\n\r\n" % ITEM.encode() + b"x" * (90 << 10))
+        at = until(lambda: len(server.connections) > 0 and server.connections[-1])
+    until(lambda: at.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"" if peek(at) else False, 2)
+    server.held.set()
+
+
+def peek(sock):
+    """Whether there is something to be read, the end of the stream too."""
+    return select.select([sock], [], [], 0)[0]
+
+
 @pytest.mark.parametrize("world", [ONLY_COLD_UNITS], indirect=True)
 def test_a_cold_node_gets_no_more_than_its_units_over_http(world):
     world.ask("PUT", body=b"x")
