--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -7,6 +7,7 @@
 import threading
 import time
 from pathlib import Path
+from types import SimpleNamespace
 
 import pytest
 
@@ -259,13 +260,14 @@
 def test_a_client_that_sends_much_ahead_and_leaves_frees_its_attempt(world):
     """Behind 64 KiB that were read ahead its close went unseen, and its request was waited for to the end."""
     world.ask("PUT", body=b"x")
-    server = world.holder()
-    server.held.clear()
+    server, reached, held = world.holder(), threading.Event(), threading.Event()
+    server.held = SimpleNamespace(wait=lambda seconds: reached.set() or held.wait(seconds))
     with socket.create_connection(("127.0.0.1", world.program.ports["ObjectFront"])) as client:
         client.sendall(b"GET %s HTTP/1.1\r\nHost: x\r\n\r\n" % ITEM.encode() + b"x" * (90 << 10))
-        at = until(lambda: len(server.connections) > 0 and server.connections[-1])
+        assert reached.wait(5)
+    at = server.connections[-1]
     until(lambda: at.recv(1, socket.MSG_PEEK | socket.MSG_DONTWAIT) == b"" if peek(at) else False, 2)
-    server.held.set()
+    held.set()
 
 
 def peek(sock):
