Let hypothesis draw other customers' settings against the reducer and the module

Seen to fail with the window, the budget, the limit, or the rule on refusals taken out of the module; a repeat outside its group it does not find (tests/test_rules.py does).

--- /dev/null
+++ b/tests/test_any_settings.py
@@ -0,0 +1,245 @@
+"""Another customer's settings: whatever the wire can bear, the rules hold and nothing crashes."""
+
+import heapq
+import random
+from collections import defaultdict
+from itertools import count
+
+from hypothesis import HealthCheck, given, settings
+from hypothesis import strategies as st
+
+from runloft.config.settings import config_from_json
+from runloft.core.deadlines import Deadlines
+from runloft.core.model import (
+    Abandon,
+    Answer,
+    Dispatch,
+    Ended,
+    Failed,
+    Left,
+    Listed,
+    NodeNews,
+    Refused,
+    Rejected,
+    Served,
+    Taken,
+)  # fmt: skip
+from runloft.core.reducer import Core
+from runloft.decisions.contract import Effect, Ending, Group, ListKind, NodeState
+from runloft.fronts.grammar import Translator
+from tests.driver import MS, SECOND
+
+DOUBTFUL = (Ending.ERROR, Ending.RESET, Ending.TIMEOUT)
+TIMES = st.sampled_from([5, 20, 60, 150, 400, 1300, 5000, 30_000, 240_000])  # ms
+LETTER = st.characters(codec="utf-8", exclude_categories=("C", "Z"), exclude_characters=",")
+NAME = st.text(LETTER, min_size=1)
+
+
+def table(required, **optional):
+    return st.fixed_dictionaries(required, optional=optional)
+
+
+CLASS = table(
+    {
+        "Name": NAME,
+        "Target": TIMES.map(lambda t: t * MS),
+        "HardLimit": TIMES.map(lambda t: t * MS),
+        "Effect": st.sampled_from(["retryable", "dedup", "fragile"]),
+    },
+    Group=st.sampled_from(["all", "zone", "cell"]),
+    Window=TIMES.map(lambda t: t * MS),
+    InTurn=st.booleans(),
+    Importance=st.sampled_from([0, 0.5, 7]),
+    LateValue=st.sampled_from([0, 0.4]),
+)
+PLAN = table(
+    {"Name": NAME},
+    BaseRate=st.sampled_from([0, 3]),
+    Guaranteed=st.sampled_from([0, 5]),
+    Parts=st.sampled_from([0, 1, 9]),
+    ValueFactor=st.sampled_from([0, 1.4]),
+)
+LIMIT = st.sampled_from([{}, {"Limit": 4, "LimitBurst": 16, "Slack": 1.6}])
+BUDGET = st.sampled_from([{}, {"ExtraFloor": 2, "ResendRatio": 0.1, "LookBack": 3 * SECOND}])
+COLD = st.sampled_from([{}, {"Cold": 8 * SECOND, "ColdFrom": 0.3, "Fall": 2 * SECOND, "FallMultiple": 2}])
+
+
+@st.composite
+def configs(draw):
+    names = {"unique_by": lambda row: row["Name"], "min_size": 1}
+    plans = [row | draw(LIMIT) for row in draw(st.lists(PLAN, max_size=3, **names))]
+    inner = {
+        "Classes": draw(st.lists(CLASS, max_size=4, **names)),
+        "ServiceLevels": plans,
+        "Safety": draw(BUDGET) | draw(COLD) | draw(st.sampled_from([{}, {"SettleAfterDoubt": 80 * MS}])),
+        "Limits": draw(
+            table(
+                {},
+                AttemptsCap=st.integers(1, 4),
+                Cancel=st.booleans(),
+                MaxRetryAfter=st.sampled_from([0, 2 * SECOND]),
+                ConnectTimeout=TIMES.map(lambda t: t * MS),
+            )
+        ),
+        "Extra": {"MaxUnits": 8} | draw(st.sampled_from([{}, {"UsualUnits": 2, "ColdUnits": 12}])),
+    }
+    more = {"GroupSize": st.sampled_from([1, 40]), "Discovery": st.just("subscribe"), "Tick": st.just(MS)}
+    inner |= draw(table({}, **more))
+    return {"listen": "127.0.0.1:1", "discovery": "127.0.0.1:2", "settings": inner}
+
+
+class World:
+    """A core among nodes that fail, drain, go and start anew; each rule is checked as effects come."""
+
+    def __init__(self, raw, seed):
+        conf = config_from_json(raw)
+        self.settings, self.random, self.now = conf.settings, random.Random(seed), 100 * SECOND
+        self.names = [(c["Name"], k) for k, c in enumerate(raw["settings"]["Classes"])]
+        self.plans = [plan["Name"] for plan in raw["settings"]["ServiceLevels"]]
+        self.translator, self.core = Translator(conf), Core(conf.settings, seed, self.now, Deadlines())
+        self.serial, self.due = count(), []
+        self.open, self.attempts, self.lines, self.rest = {}, {}, defaultdict(list), {}
+        self.taken_at, self.extra_at, self.stores = [], [], {}
+        self.nodes = {f"s-{n}": NodeNews(f"s-{n}", f"127.0.0.1:{n + 1}", n, zone=n % 2) for n in range(3)}
+
+    def at(self, when, event):
+        heapq.heappush(self.due, (when, next(self.serial), event))
+
+    def run(self):
+        self.step(Listed(ListKind.CACHED, tuple(self.nodes.values())))
+        span = max(klass.deadline_ns for klass in self.settings.classes)
+        for _ in range(40):
+            self.at(self.now + int(self.random.random() * min(span, 3 * SECOND)), self.ask)
+        for _ in range(4):
+            self.at(self.now + int(self.random.random() * 3 * SECOND), self.news)
+        end = self.now + 2 * span + 10 * SECOND
+        while self.now < end:
+            times = [self.due[0][0]] if self.due else []
+            if (timer := self.core.next_at(self.now)) is not None:
+                times.append(timer)
+            if not times:
+                break
+            self.now, events = max(self.now, min(times)), []
+            while self.due and self.due[0][0] <= self.now:
+                event = heapq.heappop(self.due)[2]
+                events.append(event() if callable(event) else event)
+            self.step(*filter(None, events))
+        assert not self.open, "no final answer"
+
+    def ask(self):
+        name, klass = self.random.choice(self.names)
+        facts = self.settings.classes[klass]
+        time = max(30, facts.deadline_ns // MS)
+        piece = self.random.randrange(3)  # 0: no key
+        plan = self.random.choice(self.plans)  # each plan has a volume of its own
+        attributes = f"c={name},t={plan},d={time},volume={self.plans.index(plan):016x}"
+        attributes += f",units={self.random.randint(1, 8)},shard={self.random.randint(-1, 3)},hosts=1"
+        words = [b"IO.IN", b"%016x" % piece, b"%016x" % next(self.serial), attributes.encode()]
+        asker = Asker()
+        ask = self.translator.ask(words)
+        self.open[asker] = self.now + ask.time_left_ns
+        asker.ask, asker.klass = ask, facts
+        self.taken_at.append(self.now)
+        if facts.in_order and ask.key:
+            self.lines[ask.key].append(asker)
+        if self.random.random() < 0.2:
+            self.at(self.now + int(self.random.random() * ask.time_left_ns), lambda: self.leave(asker))
+        return Taken(asker, ask)
+
+    def leave(self, asker):
+        if self.open.pop(asker, None) is None:
+            return None
+        asker.over = True
+        return Left(asker)
+
+    def news(self):
+        uid = self.random.choice(list(self.nodes))
+        state = self.random.choice([NodeState.READY, NodeState.DRAINING, NodeState.GONE])
+        old = self.nodes[uid]
+        fresh = NodeNews(uid, old.endpoint, old.shard, state, started_ns=self.now, zone=old.zone)
+        self.nodes[uid] = fresh
+        return Listed(ListKind.DELTA, (fresh,))
+
+    def step(self, *events):
+        for event in events:
+            if isinstance(event, Ended):
+                self.ended(event.attempt, event.ending)
+        for effect in self.core.step(self.now, events):
+            if isinstance(effect, Dispatch):
+                self.dispatched(effect)
+            elif isinstance(effect, Abandon):
+                self.ended(effect.attempt, Ending.TIMEOUT)
+            elif isinstance(effect, Answer):
+                self.answered(effect.asker, effect.reply)
+
+    def answered(self, asker, reply):
+        assert self.now <= self.open.pop(asker) + self.settings.tick_ns
+        assert not isinstance(reply, Rejected)
+        asker.over = True
+        keyed = asker.klass.effect is Effect.KEYED and asker.klass.group is Group.ALL
+        if isinstance(reply, Refused):
+            harmless = asker.klass.effect is Effect.SAFE or keyed
+            assert harmless or (asker.doubt_at is None and not asker.out)
+        assert isinstance(reply, Served | Failed | Refused)
+
+    def ended(self, number, ending):
+        if number not in self.attempts:
+            return
+        asker, at = self.attempts.pop(number)
+        asker.out.discard(number)
+        if ending in DOUBTFUL and asker.doubt_at is None:
+            asker.doubt_at = at
+        if ending in (Ending.TIMEOUT, Ending.RESET):
+            self.rest[asker.ask.key] = (self.now + self.settings.settle_ns, asker)
+
+    def dispatched(self, order):
+        attempt = self.core.attempts[order.attempt]
+        asker, klass, conf = attempt.request.asker, attempt.request.asker.klass, self.settings
+        assert not asker.over and not asker.out and asker.sends < conf.max_attempts
+        assert self.nodes[order.node.uid].state is NodeState.READY
+        assert asker.ask.shard in (None, order.node.shard)
+        assert 0 < order.wait_ns <= self.open[asker] - self.now
+        if asker.doubt_at is not None:
+            assert klass.effect is not Effect.UNSAFE
+            if klass.effect is Effect.KEYED:
+                assert self.now < asker.doubt_at + klass.window_ns
+                first = self.nodes[asker.first]
+                same = {Group.ALL: True, Group.ZONE: first.zone == order.node.zone}
+                assert same.get(klass.group, first.shard == order.node.shard)
+        if klass.in_order and asker.ask.key:
+            ahead = self.lines[asker.ask.key][: self.lines[asker.ask.key].index(asker)]
+            assert all(other.over and not other.out for other in ahead)
+            until, owner = self.rest.get(asker.ask.key, (0, asker))
+            if owner.klass.in_order and owner is not asker:
+                assert self.now >= until
+        if asker.sends:
+            self.extra_at.append(self.now)
+            if window := conf.budget_window_ns:
+                both = (self.extra_at, self.taken_at)
+                extra, taken = (sum(t > self.now - window for t in at) for at in both)
+                assert extra <= conf.budget_free + conf.budget_share * taken
+        elif (plan := conf.plans[asker.ask.plan]).limit:
+            level, at = self.stores.get(asker.ask.plan, (plan.limit_burst, self.now))
+            level = min(plan.limit_burst, level + plan.limit * (self.now - at) / SECOND) - asker.ask.units
+            assert level >= -plan.limit_slack
+            self.stores[asker.ask.plan] = (level, self.now)
+        if not asker.sends:
+            asker.first = order.node.uid
+        asker.sends += 1
+        asker.out.add(order.attempt)
+        self.attempts[order.attempt] = (asker, self.now)
+        endings = [Ending.OK, Ending.ERROR, Ending.FULL, Ending.CONNECT_FAILED, Ending.RESET, None]
+        if (ending := self.random.choice(endings)) is not None:
+            delay = int(self.random.random() ** 3 * 2 * klass.aim_ns)
+            self.at(self.now + delay, Ended(order.attempt, ending, b"v" if ending is Ending.OK else None))
+
+
+class Asker:
+    def __init__(self):
+        self.over, self.out, self.sends, self.doubt_at, self.first = False, set(), 0, None, ""
+
+
+@settings(max_examples=100, deadline=None, derandomize=True, suppress_health_check=list(HealthCheck))
+@given(configs(), st.integers(0, 1 << 30))
+def test_the_rules_hold_under_any_customers_settings(raw, seed):
+    World(raw, seed).run()
