--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -10,6 +10,7 @@
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Dispatch, Ended, NodeNews, Reconfigured, Refused
 from runloft.decisions.contract import Ending, ListKind, NewSettings, PlanSettings, Send
+from runloft.net.discovery import Watch
 from runloft.net.links import NodeLink
 from runloft.net.reload import Reload, changeable
 from tests.driver import MS, SECOND, Host, settings
@@ -124,6 +125,16 @@
     assert reload.config is before and len(Watch.moves) == 1
 
 
+@pytest.mark.parametrize("rev, told", [(9, [ListKind.FULL]), (4, [])])
+def test_a_move_to_another_discovery_brings_back_no_older_list(tmp_path, rev, told):
+    """The watch begins anew at 0 there; the file's list is held against what the old one had told."""
+    path, posted, raw = tmp_path / "config.json", [], config("127.0.0.1:1", [entry("127.0.0.1:2")])
+    watch = Watch(("127.0.0.1", 1), 5, (), posted.append, Deadlines(), lambda: 0)
+    path.write_text(json.dumps(raw | {"discovery": "127.0.0.1:3", "known": raw["known"] | {"rev": rev}}))
+    Reload(str(path), config_from_json(raw), watch, posted.append, ())()
+    assert [event.kind for event in posted] == told and (watch.rev, watch.where[1]) == (0, 3)
+
+
 def test_a_link_without_a_descriptor_to_spare_says_nothing_of_the_node():
     deadlines, posted = Deadlines(), []
     conf = config_from_json(config("127.0.0.1:1", []) | {"limits": {"sockets": 32}})
