Read nothing more from clients that go on asking when all is answered at the end

From then on each connection is read no further, its answers go out and it closes behind them. The test fails without it.

--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -570,7 +570,7 @@
             if length.isdigit() and place and place.size < 0:
                 await store.put(item, Place(place.shard, int(length)))
 
-    def stop(self) -> None:
+    def stop(self, last: bool = False) -> None:
         """Close clients between requests; busy ones end after their answer."""
         self.stopping = True
         for client in list(self.clients):
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -263,9 +263,16 @@
         if self.front.clock() - self.used_at >= LINGER_NS:
             self.end()
             return
-        # Guards the last answer: a request that comes just now would turn a close into a reset that takes it.
-        self.closing = self.parting = True
-        self.reading.cancel()
+        self.part()
+
+    def part(self) -> None:
+        """Read nothing more, and close behind the answers that are owed.
+
+        Guards the last of them: a request that comes just now would turn a close into a reset that takes it.
+        """
+        if not self.closing:
+            self.closing = self.parting = True
+            self.reading.cancel()
 
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
@@ -400,8 +407,11 @@
         idle = [c for c in self.clients if c.lingering or not (c.slots or c.outbox.size or c.used_at > old)]
         return sorted(idle, key=lambda c: (not c.lingering, c.spoke and not c.errors, c.used_at))
 
-    def stop(self) -> None:
-        """Close clients between requests, now and as their answers go out."""
+    def stop(self, last: bool = False) -> None:
+        """Close clients between requests, now and as their answers go out; at last those too that go on."""
         self.stopping = True
         for client in list(self.clients):
-            client.close_if_idle()
+            if last:
+                client.part()
+            else:
+                client.close_if_idle()
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -77,8 +77,8 @@
     def accept_waiting(self, listener: socket.socket) -> bool:
         """Accept what is there."""
 
-    def stop(self) -> None:
-        """Close connections between requests."""
+    def stop(self, last: bool = False) -> None:
+        """Close connections between requests; at last those too whose clients go on asking."""
 
     def configure(self, config: Config) -> None:
         """Go by this configuration from now on."""
@@ -290,7 +290,7 @@
     while core.by_asker or any(front.clients for front in fronts):
         if clock() >= ends:
             for front in fronts:
-                front.stop()
+                front.stop(last=clock() >= ends + FINISH_NS)
         if clock() >= ends + FINISH_NS:
             runner.post(Closing())
         if clock() >= ends + FINISH_NS + LAST_NS:
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -143,6 +143,34 @@
     play(story)
 
 
+def test_who_goes_on_asking_to_the_end_is_answered_what_was_read():
+    """What was read in the last turn was taken, and the program ended before its answer."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(read_command(0))
+        await scene.until(scene.taken)
+        scene.front.stop()
+        sock.sendall(read_command(0))
+        await scene.until(lambda: len(scene.taken()) == 2)  # not between requests: it is read on
+        scene.front.stop(last=True)
+        await anyio.wait_all_tasks_blocked()
+        sock.sendall(read_command(0))
+        for asker in scene.taken():
+            asker.answer(Served(b"ok"))
+        await scene.until(lambda: scene.wait(10) or any(client.lingering for client in scene.front.clients))
+        assert len(scene.taken()) == 2
+        answers = b""
+        while got := sock.recv(100):
+            answers += got
+        assert answers == b"$2\r\nok\r\n" * 2
+        scene.wait(101)
+        await scene.until(lambda: not scene.front.clients)
+        sock.close()
+
+    play(story)
+
+
 def test_a_lingering_close_ends_whatever_its_client_does():
     async def story(scene):
         sock = scene.connect()
--- a/tests/test_winding_down.py
+++ b/tests/test_winding_down.py
@@ -31,7 +31,7 @@
         self.scene.closed_at = self.scene.now
         return self.scene.now >= self.full_until
 
-    def stop(self):
+    def stop(self, last=False):
         self.stopped_at = self.stopped_at or self.scene.now
         self.close_if_idle()
 
