Keep what was told over a move, so that a second reload brings back no older list

Cause: Watch.move set its number to 0, and a second SIGHUP before the new discovery's first message held the file's list against that 0 (Reload.take): an older list than the one told came into force again. The number told stays now, and a flag says that nothing has come from the new address yet. tests/test_reload.py reloads twice; red without it.

--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -128,15 +128,21 @@
     ) -> None:
         self.where, self.rev, self.zones, self.asked = where, rev, zones, asked
         self.post, self.deadlines, self.clock = post, deadlines, clock
+        self.moved = False  # and nothing has come from there yet
         self._round = anyio.CancelScope()
 
     def move(self, where: tuple[str, int]) -> None:
         """Watch at another address from now on, without waiting for what ends at the old one."""
         if where != self.where:
             self.where = where
-            self.rev = 0  # another discovery counts by itself: its whole list is wanted
+            self.moved = True  # its numbers are its own: another discovery counts by itself
             self._round.cancel()
 
+    @property
+    def index(self) -> int:
+        """The version from which on changes are wanted; of another discovery all of its list is."""
+        return 0 if self.moved else self.rev
+
     async def run(self) -> None:
         """Watch for as long as the program runs."""
         wait = BACKOFF_S
@@ -169,7 +175,7 @@
             protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
             request = h11.Request(
                 method="GET",
-                target=f"/registry/instances?stream=1&index={self.rev}",
+                target=f"/registry/instances?stream=1&index={self.index}",
                 headers=[("Host", f"{self.where[0]}:{self.where[1]}"), ("Accept", "application/json")],
             )
             head = (protocol.send(request) or b"") + (protocol.send(h11.EndOfMessage()) or b"")
@@ -191,7 +197,7 @@
                     raise OSError(f"discovery answered {event.status_code}")
                 elif isinstance(event, h11.Data):
                     for message in messages.receive(bytes(event.data)):
-                        self.rev = int(message.get("rev", self.rev))
+                        self.rev, self.moved = int(message.get("rev", self.rev)), False
                         self.post(listed(message, self.zones))
                 elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
                     return
--- a/runloft/net/reload.py
+++ b/runloft/net/reload.py
@@ -58,12 +58,11 @@
         fresh, waiting = changeable(self.config, fresh)
         if waiting:
             log.warning("some changes need a restart", keys=waiting)
-        told, rev = self.watch.rev, fresh.known.get("rev")
         self.watch.zones = fresh.zones
         self.watch.move(fresh.discovery)
-        if isinstance(rev, int) and rev > told:  # the file knows more than the watch has told
-            if fresh.discovery == self.config.discovery:
-                self.watch.rev = rev
+        rev = fresh.known.get("rev")
+        if isinstance(rev, int) and rev > self.watch.rev:  # the file knows more than the watch has told
+            self.watch.rev = rev
             self.post(listed(fresh.known, fresh.zones, ListKind.FULL))
         old = self.config
         if (fresh.settings, fresh.bounds, fresh.held) != (old.settings, old.bounds, old.held):
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -128,14 +128,16 @@
 
 @pytest.mark.parametrize("rev, told", [(9, [ListKind.FULL]), (4, [])])
 def test_a_move_to_another_discovery_brings_back_no_older_list(tmp_path, rev, told):
-    """The watch begins anew at 0 there; the file's list is held against what the old one had told."""
+    """The watch asks for the whole list there; the file's is held against what the old one had told."""
 
     async def run():
         path, posted, raw = tmp_path / "config.json", [], config("127.0.0.1:1", [entry("127.0.0.1:2")])
         watch = Watch(("127.0.0.1", 1), 5, (), posted.append, Deadlines(), lambda: 0)
         path.write_text(json.dumps(raw | {"discovery": "127.0.0.1:3", "known": raw["known"] | {"rev": rev}}))
-        Reload(str(path), config_from_json(raw), watch, posted.append, ())()
-        assert [event.kind for event in posted] == told and (watch.rev, watch.where[1]) == (0, 3)
+        reload = Reload(str(path), config_from_json(raw), watch, posted.append, ())
+        for _ in range(2):  # again before the new one has said anything
+            reload()
+            assert [event.kind for event in posted] == told and (watch.index, watch.where[1]) == (0, 3)
 
     anyio.run(run)
 
