Share a reset and a first request among the tests of crossings and leaving

The same lines stood twice in tests/test_leaving.py and the reset in tests/test_crossings.py too; one test has a name that says what it holds.

--- a/tests/standins.py
+++ b/tests/standins.py
@@ -277,6 +277,12 @@
         self.process.stderr.close()
 
 
+def reset(sock):
+    """Close with a reset in place of an end."""
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+    sock.close()
+
+
 def until(check, seconds=8.0):
     """Wait for something that must become true."""
     end = time.monotonic() + seconds
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -15,7 +15,7 @@
 from runloft.net.runner import Runner
 from runloft.net.sockets import close, connect, connecting
 from tests.driver import MS, SECOND
-from tests.standins import config, settings
+from tests.standins import config, reset, settings
 
 ID = b"9b1f03aa5c7e2d41"
 BUSY = b"-BUSY\r\n"
@@ -165,8 +165,7 @@
         first = await scene.node()
         assert ID in await scene.read(first)
         scene.up = anyio.Event()
-        first.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        first.close()  # a reset: it may have run
+        reset(first)  # it may have run
         await until(lambda: scene.runner.events)
         scene.turn(50)
         assert len(scene.core.attempts) == 1  # the repeat, while its connection comes up
@@ -246,8 +245,8 @@
     anyio.run(run)
 
 
-def test_the_time_of_a_hand_over_is_the_runners(monkeypatch):
-    """An attempt that waits for a descriptor is asked about again before it takes one."""
+def test_an_attempt_that_waits_for_a_descriptor_takes_none_once_its_client_has_left(monkeypatch):
+    """It is asked about again before it takes one."""
 
     async def story(scene):
         scene.link.most = 0
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -15,7 +15,7 @@
 from runloft.core.model import Left, Served, Taken
 from runloft.fronts.resp import LINGER_NS, PIPELINED, RespFront
 from tests.driver import MS, SECOND
-from tests.standins import Discovery, RespNode, config, entry
+from tests.standins import Discovery, RespNode, config, entry, reset
 from tests.test_discovery import read_command
 
 QUIT, BAD = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$3\r\nBAD\r\n"
@@ -37,6 +37,13 @@
         self.front.accept_waiting(self.listener)
         return sock
 
+    async def ask(self):
+        """Connect and ask for something; it has been taken."""
+        sock = self.connect()
+        sock.sendall(read_command(0))
+        await self.until(self.taken)
+        return sock
+
     def taken(self):
         return [event.asker for event in self.posted if isinstance(event, Taken)]
 
@@ -103,8 +110,7 @@
     async def story(scene):
         sock = scene.connect()
         sock.sendall(BAD * 30)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
-        sock.close()
+        reset(sock)
         await scene.until(lambda: not scene.front.clients)
         await anyio.wait_all_tasks_blocked()
         scene.wait(50)
@@ -117,9 +123,7 @@
     """A request that crossed the close made a reset of it, behind an answer that was still on its way."""
 
     async def story(scene):
-        sock = scene.connect()
-        sock.sendall(read_command(0))
-        await scene.until(scene.taken)
+        sock = await scene.ask()
         scene.front.stop()
         scene.taken()[0].answer(Served(b"ok"))
         client = next(iter(scene.front.clients))
@@ -147,9 +151,7 @@
     """What was read in the last turn was taken, and the program ended before its answer."""
 
     async def story(scene):
-        sock = scene.connect()
-        sock.sendall(read_command(0))
-        await scene.until(scene.taken)
+        sock = await scene.ask()
         scene.front.stop()
         sock.sendall(read_command(0))
         await scene.until(lambda: len(scene.taken()) == 2)  # not between requests: it is read on
