Agree on the document that a scale run writes: sizes, points, slopes, events

Its parts are to be written and read by several pieces (the run, the fit, the page of capacity), so the record comes first: typed, read back strictly, a partial run names what it lacks. No program code of serve changed.

--- /dev/null
+++ b/runloft/lab/scale/records.py
@@ -0,0 +1,110 @@
+"""What a scale run finds, as one JSON document: points, slopes and events, with what made them.
+
+Every figure has one name, ``role.part.quantity``, whose last word ends in its unit (``_mb``, ``_s``,
+``_per_s``, ``_bytes``, ``_count``) or is ``cpu``: processor time used by elapsed time, 1.0 being one core
+(never wall time).  Figures of a scheduler are for one scheduler; those of stand-ins for the whole role.
+"""
+
+import json
+from dataclasses import asdict, dataclass, field, fields
+from typing import Any
+
+FORMAT = 1
+
+
+class ResultError(ValueError):
+    """A document that is no scale run's result: says what is wrong with it."""
+
+
+@dataclass(frozen=True, slots=True)
+class Sizes:
+    """The size of a point; one of them is varied at a time."""
+
+    schedulers: int = 50
+    nodes: int = 100
+    clients: int = 0  # of one real scheduler, which have spoken once and rest
+    statements: float = 0.0  # a second at one real scheduler
+    volumes: int = 10  # in the configuration, which grows by them
+    changes: float = 0.0  # of configuration, an hour
+
+
+@dataclass(frozen=True, slots=True)
+class Point:
+    """One measurement: ``repeat`` counts those of one size from 0."""
+
+    vary: str  # a field of Sizes
+    sizes: Sizes
+    repeat: int
+    seconds: float  # measured, after all had come together
+    figures: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Slope:
+    """A figure by size, by least squares over every point of one dimension."""
+
+    vary: str
+    figure: str
+    slope: float  # for each unit of the size
+    intercept: float
+    residual: float  # root of the mean square, in the figure's unit
+    spread: float  # widest between repeats of one size
+    points: int
+
+
+@dataclass(frozen=True, slots=True)
+class Event:
+    """Something that happened, and what followed; ``all_in_force_s`` is among the figures."""
+
+    name: str
+    sizes: Sizes
+    repeat: int
+    figures: dict[str, float]
+
+
+@dataclass(frozen=True, slots=True)
+class Result:
+    """A whole run; ``missing`` names what a partial one lacks, and is empty for a whole one."""
+
+    command: str
+    seed: int
+    versions: dict[str, str]
+    points: tuple[Point, ...] = ()
+    slopes: tuple[Slope, ...] = ()
+    events: tuple[Event, ...] = ()
+    missing: tuple[str, ...] = ()
+    notes: tuple[str, ...] = field(default=())
+
+    def dump(self) -> str:
+        """Give its text."""
+        return json.dumps({"format": FORMAT, **asdict(self)}, indent=1, sort_keys=True) + "\n"
+
+
+def result_from(text: str | bytes) -> Result:
+    """Read a result back; ResultError where it is none."""
+    try:
+        raw = json.loads(text)
+        if not isinstance(raw, dict) or raw.get("format") != FORMAT:
+            raise ResultError("no scale run's result of a known format")
+        return Result(
+            str(raw["command"]),
+            int(raw["seed"]),
+            dict(raw["versions"]),
+            tuple(Point(**(one | {"sizes": Sizes(**one["sizes"])})) for one in raw["points"]),
+            tuple(Slope(**one) for one in raw["slopes"]),
+            tuple(Event(**(one | {"sizes": Sizes(**one["sizes"])})) for one in raw["events"]),
+            tuple(map(str, raw["missing"])),
+            tuple(map(str, raw["notes"])),
+        )
+    except (KeyError, TypeError, ValueError) as error:
+        raise ResultError(f"no scale run's result: {error!r}") from None
+
+
+def dimensions() -> tuple[str, ...]:
+    """Give what may be varied."""
+    return tuple(one.name for one in fields(Sizes))
+
+
+def named(values: dict[str, Any], prefix: str) -> dict[str, float]:
+    """Give figures a common prefix."""
+    return {f"{prefix}.{name}": float(value) for name, value in values.items()}
