--- a/runloft/config/agreement/content.py
+++ b/runloft/config/agreement/content.py
@@ -169,6 +169,14 @@
             yield Difference(what, name, key, own.get(key), wanted.get(key))
 
 
+def unreserved(raw: Row) -> dict[str, Any]:
+    """Give a file's values with nothing reserved: what a sidecar goes by that holds no lease."""
+    out = deepcopy(dict(raw))
+    for row in out.get("settings", {}).get("ServiceLevels", ()):
+        row["Guaranteed"] = 0.0
+    return out
+
+
 def refusals(raw: Row, content: Content) -> list[str]:
     """Check whether this sidecar can serve by a content: by the same checks as its own file.
 
--- a/runloft/config/agreement/member.py
+++ b/runloft/config/agreement/member.py
@@ -5,18 +5,20 @@
 at most a lease away: whatever clock steps after that, sidecars that can reach the store change within a
 lease of each other.
 
-Who is told what is in force keeps to it, also while the store is away.  What was ever in force with a
-higher generation wins over a store that has lost it.
+Who is told what is in force keeps to it, also while the store is away, but holds its reserves under a
+lease only (``fencing``).  What was ever in force with a higher rank wins over a store that has lost it.
+An exchange tells of no other sidecar: what it takes does not grow with their number.
 """
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from runloft.config.agreement.content import Content, completed
-from runloft.config.agreement.records import Force, Lease, Stage, Verdict, View
+from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.records import Force, Lease, Stage, Verdict, View, rank_of
 
 BEATS = 4  # exchanges in the time of a lease
-HASTE = 4  # after a failed exchange the next one comes this many times sooner
+HASTE = 4  # after a failed exchange the next one comes this many times sooner, after each further one half so
 
 
 @dataclass(frozen=True, slots=True)
@@ -32,7 +34,6 @@
     """Put what is in force back into a store that has lost it, unless it holds a higher one by now."""
 
     force: Force
-    names: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -42,12 +43,28 @@
     force: Force
 
 
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """Begin an era of a store whose era is still ``expects``."""
+
+    era: int
+    expects: int
+
+
+@dataclass(frozen=True, slots=True)
+class Settle:
+    """Say that whoever was cut off when this era began is fenced by now."""
+
+    era: int
+
+
 @dataclass(frozen=True, slots=True)
 class Adopt:
-    """Go by this content from now on."""
+    """Go by this content from now on, and hold its reserves or none."""
 
     content: Content
     generation: int
+    reserves: bool
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +72,6 @@
     """Keep a copy on this machine."""
 
     force: Force
-    names: frozenset[str]
 
 
 @dataclass(frozen=True, slots=True)
@@ -72,10 +88,11 @@
     """Add this sidecar's own volumes, plans and classes to a generation that no roll-out brought."""
 
     force: Force
-    expects: tuple[int, str]
+    expects: tuple[int, int, str]
 
 
-Effect = Exchange | Restore | Found | Extend | Adopt | Keep | Say
+Put = Restore | Found | Extend | Begin | Settle
+Effect = Exchange | Put | Adopt | Keep | Say
 
 
 class Member:
@@ -87,21 +104,26 @@
         incarnation: str,
         own: Content,
         lease_ns: int,
+        fence_ns: int,
         refuses: Callable[[Content], list[str]],
         now: int,
     ) -> None:
-        self.name, self.incarnation, self.own, self.lease_ns = name, incarnation, own, lease_ns
-        self.refuses = refuses
+        self.name, self.incarnation, self.own = name, incarnation, own
+        self.lease_ns, self.fence_ns, self.refuses = lease_ns, fence_ns, refuses
         self.force: Force | None = None  # the highest generation heard of
         self.served: tuple[int, str] = (0, own.digest)  # what is gone by: generation, digest
+        self.content: Content | None = None  # what is gone by; None: the own file
         self.change_at: int | None = None  # own clock: when ``force`` comes into force
-        self.names: frozenset[str] = frozenset((name,))
+        self.reserves_until: int | None = None  # own clock: the lease's end; None: it is fenced
+        self.era = 0  # of the store by whose answers the lease is renewed
         self.verdict: Verdict | None = None
         self.heard_at: int | None = None  # own clock: of the last view
         self.empty_since: int | None = None  # own clock: the store has held nothing since then
         self.next_beat = now
         self.differences, self.held, self.copy_age_s = 0, 0, -1.0
         self._since_store, self._cut_off = 0, False
+        self._asked_at, self._heard, self._heard_ns, self._failures = now, 0, 0, 0
+        self._fresh = Stillness()  # of an era that is not yet gone by
 
     # What is asked of it
 
@@ -109,18 +131,23 @@
         """Say whether the store was heard within a lease."""
         return self.heard_at is not None and now - self.heard_at <= self.lease_ns
 
+    @property
+    def reserves(self) -> bool:
+        """Say whether it holds the reserves of what it serves by."""
+        return self.reserves_until is not None
+
     def next_at(self) -> int:
         """Give the time at which ``due`` has something to do."""
-        return self.next_beat if self.change_at is None else min(self.next_beat, self.change_at)
+        times = (self.next_beat, self.change_at, self.reserves_until)
+        return min(time for time in times if time is not None)
 
-    def remember(self, force: Force, names: frozenset[str], age_s: float, now: int) -> list[Effect]:
-        """Begin with the copy that this machine kept.
+    def remember(self, force: Force, age_s: float, now: int) -> list[Effect]:
+        """Begin with the copy that this machine kept, and without its reserves until the store is heard.
 
         A change that was foreseen in it has come by now: nobody who restarts can know otherwise, and
         the others change within a lease.
         """
-        self.copy_age_s, self.names = age_s, self.names | names
-        self.force = force
+        self.copy_age_s, self.force = age_s, force
         effects: list[Effect] = [Say("from copy", force.generation, f"{age_s:.0f} s old")]
         return effects + self._adopt(now)
 
@@ -139,11 +166,15 @@
         effects: list[Effect] = []
         if self.change_at is not None and now >= self.change_at:
             effects += self._adopt(now)
+        if self.reserves_until is not None and now >= self.reserves_until:
+            self.reserves_until = None
+            effects = [replace(one, reserves=False) if isinstance(one, Adopt) else one for one in effects]
+            effects += [*self._gone_by(effects), Say("fenced", self.served[0], "nothing is reserved")]
         if not self._cut_off and self.heard_at is not None and not self.connected(now):
             self._cut_off = True
             effects.append(Say("cut off", self.served[0], "the store was not heard for a lease"))
         if now >= self.next_beat:
-            self.next_beat = now + self.lease_ns // BEATS
+            self.next_beat, self._asked_at = now + self.lease_ns // BEATS, now
             effects.append(Exchange(self.lease(), self.verdict))
         return effects
 
@@ -153,13 +184,18 @@
         return Lease(
             self.name, self.incarnation, generation, digest, self.own.digest,
             self.differences, self.held, self._since_store, self.copy_age_s,
+            self._heard, self._heard_ns, self.fence_ns, self.reserves,
         )  # fmt: skip
 
     # What it is told
 
     def lost(self, now: int) -> list[Effect]:
         """Heed that an exchange failed, whether the store took it or not."""
-        self.next_beat = min(self.next_beat, now + self.lease_ns // BEATS // HASTE)
+        beat = self.lease_ns // BEATS
+        # Guards a store that is back after a while against everybody's haste.
+        wait = min(beat, beat // HASTE << min(self._failures, HASTE))
+        self._failures += 1
+        self.next_beat = min(self.next_beat, now + wait)
         return []
 
     def seen(self, view: View, now: int) -> list[Effect]:
@@ -167,23 +203,50 @@
         effects: list[Effect] = []
         if self._cut_off or self.heard_at is None:
             effects.append(Say("connected", view.force.generation if view.force else 0))
-        self._cut_off, self.heard_at = False, now
-        fresh = view.names - self.names
-        self.names |= view.names
-        if view.force is None:
-            effects += self._empty(now)
-        else:
-            self.empty_since = None
-            effects += self._told(view.force, view.now_ns, now)
-            if fresh and self.force is not None:
-                effects.append(Keep(self.force, self.names))
+        self._cut_off, self.heard_at, self._heard_ns, self._failures = False, now, view.now_ns, 0
+        self._heard += 1
+        effects += self._eras(view, now)
+        effects += self._empty(now) if view.force is None else self._told(view.force, view.now_ns, now)
+        effects = self._renewed(view, effects)
         effects += self._asked(view.stage, now)
         return effects
 
+    def _eras(self, view: View, now: int) -> list[Effect]:
+        """Heed a store that has begun anew: its answers renew no lease until the old ones are over."""
+        highest = rank_of(self.force)[0]
+        if not view.era or view.era < highest:
+            return [Begin(max(view.now_ns, highest, self.era) + 1, view.era)]
+        lasted = self._fresh.lasts(view.era, now)
+        if view.settled:
+            self.era = view.era
+        elif lasted >= self.fence_ns + drift_ns(self.fence_ns):
+            self.era = view.era
+            return [Settle(view.era)]
+        return []
+
+    def _renewed(self, view: View, effects: list[Effect]) -> list[Effect]:
+        """Hold the reserves for a fence's time from the question on, where the answer allows it."""
+        force = self.force
+        if force is None or view.era != self.era or not force.era <= view.era:
+            return effects
+        foreseen_only = self.change_at is not None and force.before is None  # nothing is in force yet
+        if rank_of(view.force) == force.rank and not foreseen_only:
+            before, self.reserves_until = self.reserves, self._asked_at + self.fence_ns
+            effects = [replace(one, reserves=True) if isinstance(one, Adopt) else one for one in effects]
+            if not before:
+                effects += [*self._gone_by(effects), Say("reserves", self.served[0])]
+        return effects
+
+    def _gone_by(self, effects: list[Effect]) -> list[Effect]:
+        """Go by the same with other reserves, unless that is being told already."""
+        if self.content is None or any(isinstance(one, Adopt) for one in effects):
+            return []
+        return [Adopt(self.content, self.served[0], self.reserves)]
+
     def _empty(self, now: int) -> list[Effect]:
         """Put back what is known; else, when nobody has done so for a lease, begin with the own file."""
         if self.force is not None:
-            return [Restore(self.force, self.names), Say("restored", self.force.generation)]
+            return [Restore(self.force), Say("restored", self.force.generation)]
         if self.empty_since is None:
             self.empty_since = now
         if now - self.empty_since < self.lease_ns:
@@ -195,19 +258,21 @@
     def _told(self, force: Force, store_now: int, now: int) -> list[Effect]:
         if self.force is not None and force.rank <= self.force.rank:
             if force.rank < self.force.rank:
-                return [Restore(self.force, self.names), Say("restored", self.force.generation)]
+                return [Restore(self.force), Say("restored", self.force.generation)]
             return self._extended(force)
-        first, self.force = self.force is None, force
-        effects: list[Effect] = [Keep(force, self.names)]
+        self.force = force
+        effects: list[Effect] = [Keep(force)]
         # Guards against clocks that step: never more than a lease from now, and not looked at again.
         wait = min(max(0, force.at_ns - store_now), self.lease_ns)
         if wait == 0:
             return effects + self._adopt(now, store_now) + self._extended(force)
         self.change_at = now + wait
         effects.append(Say("change foreseen", force.generation, f"in {wait / 1e9:.3f} s"))
-        if first and force.before is not None:  # until then the one before is in force, here too
-            self.served = (force.generation - 1, force.before.digest)
-            effects.append(Adopt(force.before, force.generation - 1))
+        before = force.generation - 1, force.before.digest if force.before else ""
+        if force.before is not None and self.served != before:
+            # Until then the one before is in force, here too, whatever this sidecar came with.
+            self.served, self.content = before, force.before
+            effects.append(Adopt(force.before, before[0], self.reserves))
         return effects
 
     def _extended(self, force: Force) -> list[Effect]:
@@ -217,11 +282,11 @@
         content = completed(force.content, self.own)
         if content is force.content:
             return []
-        wanted = Force(force.generation + 1, content, by=self.name)
+        wanted = Force(force.generation + 1, content, by=self.name, era=force.era)
         return [Extend(wanted, force.rank), Say("added to", wanted.generation)]
 
     def _content(self) -> Content:
-        """Give what is gone by: where no roll-out spoke, own volumes that nobody claimed are served."""
+        """Give what is in force: where no roll-out spoke, own volumes that nobody claimed are served."""
         assert self.force is not None
         return self.force.content if self.force.token else completed(self.force.content, self.own)
 
@@ -231,7 +296,9 @@
         self.served = (self.force.generation, self.force.content.digest)
         self._since_store = store_now or self.force.at_ns
         self.next_beat = min(self.next_beat, now)  # the change is told at once
-        return [Adopt(self._content(), self.force.generation), Say("in force", self.force.generation)]
+        self.content = self._content()
+        adopted = Adopt(self.content, self.force.generation, self.reserves)
+        return [adopted, Say("in force", self.force.generation)]
 
     def _asked(self, stage: Stage | None, now: int) -> list[Effect]:
         """Answer a stage once; the answer goes with every exchange until another stage is there."""
@@ -241,8 +308,8 @@
         if self.verdict is not None and self.verdict.token == stage.token:
             return []
         found = self.refuses(stage.content)
-        mine = self.force.generation if self.force else 0
-        if stage.generation <= mine:
+        era, mine, _ = rank_of(self.force)
+        if (stage.era, stage.generation) <= (era, mine):
             found = [f"generation {stage.generation} is staged, and {mine} was in force here", *found]
         self.verdict = Verdict(self.name, self.incarnation, stage.token, tuple(found[:8]))
         self.next_beat = min(self.next_beat, now)
--- a/runloft/config/agreement/records.py
+++ b/runloft/config/agreement/records.py
@@ -7,8 +7,9 @@
 from runloft.config.agreement.content import Content, ContentError, content_from
 
 FORMAT = 1
-Rank = tuple[int, str]
-NOTHING: Rank = (0, "")  # the rank of no generation at all
+LEASE_FORMAT = 2  # 1 had no fence and ran out by the store's clock: whoever writes it can't be left out
+Rank = tuple[int, int, str]
+NOTHING: Rank = (0, 0, "")  # the rank of no generation at all
 
 
 class RecordError(ValueError):
@@ -25,10 +26,16 @@
     before: Content | None = None
     token: str = ""  # of the roll-out that brought it; empty: a sidecar's own, the first
     by: str = ""
+    era: int = 0  # of the store in which a roll-out brought it; 0: no roll-out did
 
     @property
     def rank(self) -> Rank:
         """Order generations: of two that claim to be in force the higher one is."""
+        return self.era, self.generation, self.content.digest
+
+    @property
+    def name(self) -> tuple[int, str]:
+        """Give what a lease says of it."""
         return self.generation, self.content.digest
 
     def dump(self) -> str:
@@ -40,6 +47,7 @@
             before=self.before.as_json() if self.before else None,
             token=self.token,
             by=self.by,
+            era=self.era,
         )
 
 
@@ -56,16 +64,21 @@
     generation: int
     content: Content
     by: str = ""
+    era: int = 0
 
     def dump(self) -> str:
         """Give its text."""
         content = self.content.as_json()
-        return _dump(token=self.token, generation=self.generation, content=content, by=self.by)
+        return _dump(token=self.token, generation=self.generation, content=content, by=self.by, era=self.era)
 
 
 @dataclass(frozen=True, slots=True)
 class Lease:
-    """What a sidecar serves by; it lies in the store until the lease runs out."""
+    """What a sidecar serves by; it stays in the store until the sidecar leaves or has been fenced.
+
+    ``mark`` changes with every exchange that the sidecar heard an answer to.  Who watches it by a clock of
+    its own knows how long the sidecar has been silent, whatever the store's clock does.
+    """
 
     name: str
     incarnation: str
@@ -76,10 +89,24 @@
     held: int = 0
     since_ns: int = 0  # store's time from which it has served by this
     copy_age_s: float = -1.0  # of the local copy that it started from; below 0: it did not
+    heard: int = 0  # exchanges that were answered, since its start
+    heard_ns: int = 0  # store's time of the last of them: for those who read, nothing is decided by it
+    fence_ns: int = 0  # it reserves nothing once it has heard no answer for so long
+    reserves: bool = False  # it holds the reserves of what it serves by
+
+    @property
+    def mark(self) -> tuple[str, int]:
+        """Give what changes while it hears."""
+        return self.incarnation, self.heard
+
+    @property
+    def serves(self) -> tuple[int, str]:
+        """Give what it serves by: generation, digest."""
+        return self.generation, self.digest
 
     def dump(self) -> str:
         """Give its text."""
-        return _dump(**{name: getattr(self, name) for name in self.__slots__})
+        return _dump(LEASE_FORMAT, **{name: getattr(self, name) for name in self.__slots__})
 
 
 @dataclass(frozen=True, slots=True)
@@ -105,28 +132,34 @@
     now_ns: int
     force: Force | None = None
     stage: Stage | None = None
-    names: frozenset[str] = frozenset()  # every sidecar known, whether its lease holds or not
+    names: frozenset[str] = frozenset()  # every sidecar known; told to the tool alone, as the next two
     leases: dict[str, Lease] = field(default_factory=dict)
     verdicts: dict[str, Verdict] = field(default_factory=dict)
+    era: int = 0  # of the store: it differs once the store has lost what it held; 0: nobody has begun one
+    settled: bool = False  # whoever was cut off when the era began has been fenced since
+
+    def foreign(self) -> set[str]:
+        """Give those that are known by no lease of this format: of a version before, or spoilt."""
+        return set(self.names - self.leases.keys())
 
     def behind(self) -> set[str]:
         """Give those that serve by something else than what is in force."""
         if self.force is None:
             return set()
-        rank = self.force.rank
-        return {name for name, lease in self.leases.items() if (lease.generation, lease.digest) != rank}
+        name = self.force.name
+        return {sidecar for sidecar, lease in self.leases.items() if lease.serves != name}
 
 
-def _dump(**values: Any) -> str:
-    return json.dumps({"format": FORMAT, **values}, sort_keys=True, separators=(",", ":"))
+def _dump(number: int = FORMAT, /, **values: Any) -> str:
+    return json.dumps({"format": number, **values}, sort_keys=True, separators=(",", ":"))
 
 
-def _load(text: str | bytes) -> dict[str, Any]:
+def _load(text: str | bytes, number: int = FORMAT) -> dict[str, Any]:
     try:
         raw = json.loads(text)
     except (ValueError, RecursionError) as error:
         raise RecordError(f"no record: {error}") from None
-    if not isinstance(raw, dict) or raw.get("format") != FORMAT:
+    if not isinstance(raw, dict) or raw.get("format") != number:
         raise RecordError("a record of another format")
     return raw
 
@@ -143,6 +176,7 @@
             content_from(before) if before is not None else None,
             str(raw["token"]),
             str(raw["by"]),
+            int(raw.get("era", 0)),
         )
     except (KeyError, TypeError, ValueError, ContentError) as error:
         raise RecordError(f"not what is in force: {error!r}") from None
@@ -153,7 +187,11 @@
     raw = _load(text)
     try:
         return Stage(
-            str(raw["token"]), int(raw["generation"]), content_from(raw["content"]), str(raw["by"])
+            str(raw["token"]),
+            int(raw["generation"]),
+            content_from(raw["content"]),
+            str(raw["by"]),
+            int(raw.get("era", 0)),
         )
     except (KeyError, TypeError, ValueError, ContentError) as error:
         raise RecordError(f"no stage: {error!r}") from None
@@ -161,12 +199,13 @@
 
 def lease_from(text: str | bytes) -> Lease:
     """Read a lease."""
-    raw = _load(text)
+    raw = _load(text, LEASE_FORMAT)
     try:
         return Lease(
             str(raw["name"]), str(raw["incarnation"]), int(raw["generation"]), str(raw["digest"]),
             str(raw["own"]), int(raw["differences"]), int(raw["held"]), int(raw["since_ns"]),
-            float(raw["copy_age_s"]),
+            float(raw["copy_age_s"]), int(raw["heard"]), int(raw["heard_ns"]), int(raw["fence_ns"]),
+            bool(raw["reserves"]),
         )  # fmt: skip
     except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"no lease: {error!r}") from None
--- a/runloft/config/agreement/rollout.py
+++ b/runloft/config/agreement/rollout.py
@@ -4,18 +4,21 @@
 force has its moment written into it, which the sidecars keep by themselves.  Every write names what it
 expects to find, so that a lost reply, a second roll-out or a sidecar that joins meanwhile is noticed.
 
-No roll-out begins or ends while a sidecar that is known is silent: there are never more than two
-generations served anywhere, and the larger of both has been shown to be honourable.
+A sidecar that is silent is left out, by the rules of ``fencing``: there are never more than two generations
+by which anything is reserved, and the larger of both has been shown to be honourable.
 """
 
-from collections.abc import Callable, Sequence
-from dataclasses import dataclass
+from collections.abc import Callable, Mapping, Sequence
+from dataclasses import dataclass, field
 from enum import Enum
 
 from runloft.config.agreement.content import Content
-from runloft.config.agreement.records import Force, Rank, Stage, View, rank_of
+from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.member import Begin, Settle
+from runloft.config.agreement.records import Force, Lease, Rank, Stage, View, rank_of
 
 PATIENCE = 4  # leases: for answers, and for all to have changed
+FORESEEN = 2  # a part of the lease: so long before its moment a change is written; two exchanges see it
 
 
 class Phase(Enum):
@@ -42,14 +45,17 @@
 class PutForce:
     """Bring a generation into force.
 
-    Only while ``expects`` is in force, the stage is there, and exactly ``names`` are known and live.
-    ``in_ns``: the moment, from the store's time at which it is written.
+    Only while ``expects`` is in force, the stage is there, exactly ``names`` are known, and the marks of
+    those ``left_out`` still stand.  Those ``fenced`` are not known any more.  ``in_ns``: the moment, from
+    the store's time at which it is written.
     """
 
     force: Force
     expects: Rank
     names: frozenset[str]
     in_ns: int
+    left_out: Mapping[str, tuple[str, int]] = field(default_factory=dict)
+    fenced: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True, slots=True)
@@ -66,7 +72,7 @@
     text: str
 
 
-Effect = PutStage | PutForce | DropStage | Tell
+Effect = PutStage | PutForce | DropStage | Tell | Begin | Settle
 
 
 class CanNotError(Exception):
@@ -85,17 +91,24 @@
         by: str,
         plan: Callable[[Content | None], Sequence[Content]],
         lease_ns: int,
+        fence_ns: int,
         now: int,
     ) -> None:
-        self.token, self.by, self.lease_ns, self.plan = token, by, lease_ns, plan
+        self.token, self.by, self.plan = token, by, plan
+        self.lease_ns, self.fence_ns = lease_ns, fence_ns
         self.steps: Sequence[Content] = ()
         self.phase, self.since = Phase.READING, now
         self.why = ""  # it stopped
         self.unheard: frozenset[str] = frozenset()  # had not changed when patience ended
+        self.left_out: set[str] = set()  # were silent
+        self.era = 0  # of the store in which it is carried out
         self.base: Force | None = None
         self.wanted: Force | None = None
         self.step = 0
         self.renewed_at = now
+        self._era = Stillness()
+        self._marks: dict[str, Stillness] = {}
+        self._silent: dict[str, int] = {}  # how long each mark has been seen to stand still
 
     @property
     def over(self) -> bool:
@@ -108,6 +121,8 @@
 
     def seen(self, view: View, now: int) -> list[Effect]:
         """Heed what the store holds; asked for again and again until it is over."""
+        for name, lease in view.leases.items():
+            self._silent[name] = self._marks.setdefault(name, Stillness()).lasts(lease.mark, now)
         match self.phase:
             case Phase.READING:
                 return self._begin(view, now)
@@ -155,8 +170,15 @@
         if self.step and (view.force is None or view.force.token != f"{self.token}.{self.step - 1}"):
             return self._stop("another generation came into force between two steps")
         self.base = view.force
+        if not view.era or view.era < rank_of(view.force)[0]:
+            era = max(view.now_ns, rank_of(view.force)[0]) + 1
+            return [Begin(era, view.era)] if now - self.since <= self._patience else self._stop("no era")
+        still, fenced = self._era.lasts(view.era, now), self.fence_ns + drift_ns(self.fence_ns)
+        if not view.settled and still < fenced:
+            return []  # the store has begun anew: who was cut off may hold a lease of what it was
+        settle: list[Effect] = [] if view.settled else [Settle(view.era)]
         if view.force is not None and view.force.at_ns > view.now_ns:
-            if now - self.since > PATIENCE * self.lease_ns:
+            if now - self.since > self._patience:
                 return self._stop("the generation before has not come into force")
             return []  # it is on its way: a third at once is never served
         if self.step == 0:
@@ -169,21 +191,35 @@
             return self._next(now)
         if view.stage is not None and not view.stage.token.startswith(f"{self.token}."):
             return self._stop(f"another roll-out is under way, by {view.stage.by}")
-        if silent := view.names - view.leases.keys():
-            return self._stop(f"silent: {', '.join(sorted(silent))}")
-        if behind := view.behind():
-            if now - self.since > PATIENCE * self.lease_ns:
-                return self._stop(f"not on the generation in force: {', '.join(sorted(behind))}")
-            return []
         self._to(Phase.STAGING, now)
         self.renewed_at = now
-        stage = Stage(self._stage_token, (view.force.generation if view.force else 0) + 1, content, self.by)
-        return [PutStage(stage, rank_of(view.force)), Tell(f"staged as generation {stage.generation}")]
+        self.era = view.era
+        stage = self._stage(content)
+        staged = Tell(f"staged as generation {stage.generation}")
+        return [*settle, PutStage(stage, rank_of(view.force)), staged]
+
+    @property
+    def _patience(self) -> int:
+        """Give how long it waits for answers: a fence has to fit in."""
+        return max(PATIENCE * self.lease_ns, self.fence_ns + 2 * self.lease_ns)
+
+    def _stage(self, content: Content) -> Stage:
+        generation = (self.base.generation if self.base else 0) + 1
+        return Stage(self._stage_token, generation, content, self.by, self.era)
+
+    def _left_out(self, lease: Lease) -> tuple[bool, bool]:
+        """Say whether a sidecar may be left out of what comes next, and whether it is fenced by now."""
+        silent, fence = self._silent[lease.name], max(self.fence_ns, lease.fence_ns)
+        fenced = silent >= fence + drift_ns(fence)
+        return fenced or (silent >= self.lease_ns and self._abreast(lease)), fenced
+
+    def _abreast(self, lease: Lease) -> bool:
+        return self.base is not None and lease.serves == self.base.name
 
     def _asked(self, view: View, now: int) -> list[Effect]:
         content, rank = self.steps[self.step], rank_of(self.base)
-        if rank_of(view.force) != rank:
-            return self._stop("another generation came into force")
+        if rank_of(view.force) != rank or view.era != self.era:
+            return self._stop("another generation came into force, or the store has begun anew")
         token = self._stage_token
         if view.stage is not None and view.stage.token != token:
             return self._stop(f"another roll-out is under way, by {view.stage.by}")
@@ -191,29 +227,39 @@
         refused = [f"{name}: {'; '.join(v.refusals)}" for name, v in sorted(verdicts.items()) if v.refusals]
         if refused:
             return self._stop(f"refused by {' | '.join(refused)}")
-        if silent := view.names - view.leases.keys():
-            return self._stop(f"silent for longer than the lease: {', '.join(sorted(silent))}")
-        # A sidecar that restarted after its answer has to give it again.
-        waiting = {
-            name
-            for name, lease in view.leases.items()
-            if name not in verdicts or verdicts[name].incarnation != lease.incarnation
-        }
-        generation = (self.base.generation if self.base else 0) + 1
+        if foreign := view.foreign():
+            known = ", ".join(sorted(foreign))
+            return self._stop(f"known by no lease of this version, so it can't be left out: {known}")
+        left_out, fenced, waiting = {}, set(), set()
+        for name, lease in view.leases.items():
+            may, is_fenced = self._left_out(lease)
+            if may:
+                left_out[name] = lease.mark
+            if is_fenced:
+                fenced.add(name)
+            # A sidecar that restarted after its answer has to give it again.
+            answered = name in verdicts and verdicts[name].incarnation == lease.incarnation
+            if not may and not (answered and (self.base is None or self._abreast(lease))):
+                waiting.add(name)
         if waiting or view.stage is None:
-            if now - self.since > PATIENCE * self.lease_ns:
+            if now - self.since > self._patience:
                 return self._stop(f"no answer from {', '.join(sorted(waiting)) or 'the store'}")
             if view.stage is not None and now - self.renewed_at < self.lease_ns // 2:
                 return []
             self.renewed_at = now
-            return [PutStage(Stage(token, generation, content, self.by), rank)]
+            return [PutStage(self._stage(content), rank)]
         before = self.base.content if self.base else None
-        self.wanted = Force(generation, content, 0, before, token, self.by)
+        generation = (self.base.generation if self.base else 0) + 1
+        self.wanted = Force(generation, content, 0, before, token, self.by, self.era)
         self._to(Phase.COMMITTING, now)
+        self.left_out |= left_out.keys()
         names = frozenset(view.names)
+        said = f"honoured by {len(names) - len(left_out)}: generation {generation} comes into force"
+        if left_out:
+            said += f"; silent and left out: {', '.join(sorted(left_out))}"
         return [
-            PutForce(self.wanted, rank, names, self.lease_ns),
-            Tell(f"honoured by {len(names)}: generation {generation} comes into force"),
+            PutForce(self.wanted, rank, names, self.lease_ns // FORESEEN, left_out, frozenset(fenced)),
+            Tell(said),
         ]
 
     def _unsure(self, view: View, now: int) -> list[Effect]:
@@ -229,11 +275,17 @@
 
     def _changing(self, view: View, now: int) -> list[Effect]:
         assert self.wanted is not None
-        late = {n for n in view.names if n not in view.leases or self._old(view.leases[n].generation)}
+        if view.force is not None and view.force.rank > self.wanted.rank:
+            return self._next(now)  # somebody has gone on from it
+        late = {
+            name
+            for name, lease in view.leases.items()
+            if lease.serves != self.wanted.name and self._silent[name] < self.lease_ns
+        }
         changed = view.force is not None and view.now_ns >= view.force.at_ns
         if changed and not late:
             return self._next(now)
-        if now - self.since > (PATIENCE + 1) * self.lease_ns:
+        if now - self.since > self._patience + self.lease_ns:
             self.unheard = frozenset(late)
             if self.step + 1 < len(self.steps):
                 self.phase, self.why = Phase.STOPPED, f"not changed: {', '.join(sorted(late))}"
@@ -241,9 +293,6 @@
             return self._next(now)
         return []
 
-    def _old(self, generation: int) -> bool:
-        return self.wanted is not None and generation < self.wanted.generation
-
     def _next(self, now: int) -> list[Effect]:
         force = self.wanted or self.base
         said = Tell(f"generation {force.generation if force else 0} is in force")
--- a/runloft/config/operator.py
+++ b/runloft/config/operator.py
@@ -28,6 +28,7 @@
 MOST_BYTES = 8 << 20  # of one file
 STORE_SOCKETS = 16  # connections to the shared store at most
 STORE = Text(form=re.compile(r"redis://[^\s/]+:\d{1,5}(/\d+)?"), says="redis://host:port/0")
+AFTER_FENCE = Text(form=re.compile("unreserved|hold"), says='"unreserved" or "hold"')
 # Figures beside classes and plans that shares, refusals or rules go by: the same at each sidecar.
 SHARED = {
     "Extra": ("ColdUnits", "UsualUnits", "MaxUnits", "WithinShare", "BeyondShare", "UsePeriod"),
@@ -315,6 +316,10 @@
     directory: str = setting("directory", Text(empty=False), account="for the copy of what is in force")
     prefix: str = setting("prefix", kinds.name(), "runloft", "of every key in the store")
     lease: float = setting("lease_ms", milliseconds(200.0, 600_000.0), 3000.0, "silent so long: cut off")
+    fence: float | None = setting(
+        "fence_ms", milliseconds(400.0, 3_600_000.0), None, "silent so long: reserves nothing; two leases"
+    )
+    cut_off: str = setting("cut_off", AFTER_FENCE, "unreserved", "then: or hold, and serve nothing")
 
 
 @attrs.frozen
@@ -441,6 +446,11 @@
         reason = f"the program takes {PROGRAM_MB} MB, which leaves {max(0.0, spare_mb):g} for requests"
         yield ("limits", "memory_mb"), "memory-too-small", reason, f"at least {PROGRAM_MB + 4}", fault
     wanted = 32 + (2 * STORE_SOCKETS if objects else 0) + (STORE_SOCKETS if record.agreement else 0)
+    agreement = record.agreement
+    if agreement and agreement.fence is not None and agreement.lease and agreement.fence < agreement.lease:
+        reason = "it would be fenced between two exchanges that the lease allows for"
+        more = f"at least lease_ms, {agreement.lease:g}"
+        yield ("agreement", "fence_ms"), "fence-below-lease", reason, more, fault
     if limits.sockets is not None and limits.sockets < wanted:
         reason = f"links, listeners and the store need {wanted} descriptors before any client"
         yield ("limits", "sockets"), "descriptors-too-few", reason, f"at least {wanted}", fault
--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -61,6 +61,8 @@
     directory: str
     prefix: str = "runloft"
     lease_ns: int = 3_000_000_000
+    fence_ns: int = 6_000_000_000  # nothing is reserved once the store has been silent for so long
+    cut_off: str = "unreserved"  # what is done then; "hold": nothing is served
 
 
 @dataclass(frozen=True, slots=True)
@@ -242,8 +244,12 @@
 def agreement_of(raw: dict[str, Any]) -> AgreementSettings:
     """Read what an operator's file was checked for already; the platform's has no such table."""
     lease_ns = int(float(raw.get("lease_ms", 3000.0)) * 1_000_000)
-    prefix = str(raw.get("prefix", "runloft"))
-    return AgreementSettings(str(raw["store"]), str(raw["directory"]), prefix, lease_ns)
+    fence = raw.get("fence_ms")
+    fence_ns = int(float(fence) * 1_000_000) if fence is not None else 2 * lease_ns
+    return AgreementSettings(
+        str(raw["store"]), str(raw["directory"]), str(raw.get("prefix", "runloft")),
+        lease_ns, fence_ns, str(raw.get("cut_off", "unreserved")),
+    )  # fmt: skip
 
 
 def _objects(
--- a/runloft/lab/running.py
+++ b/runloft/lab/running.py
@@ -203,7 +203,8 @@
 
 def _settled(view: View, sidecars: int) -> bool:
     """Whether all are there and serve by what is in force."""
-    return view.force is not None and len(view.leases) >= sidecars and not view.behind()
+    reserving = sum(lease.reserves for lease in view.leases.values())
+    return view.force is not None and reserving >= sidecars and not view.behind()
 
 
 async def _rolled_out(scenario: Scenario, world: Fleet, files: dict[str, Path]) -> float:
--- a/runloft/net/admin.py
+++ b/runloft/net/admin.py
@@ -33,6 +33,7 @@
         for name, text, value in (
             ("runloft_agreement_generation", "Generation that this sidecar serves by.", standing.generation),
             ("runloft_agreement_connected", "1: the store was heard within a lease.", standing.connected),
+            ("runloft_agreement_reserves", "1: reserves are held, under a lease.", standing.reserves),
             ("runloft_agreement_copy_age_seconds", "Of the copy it started from; -1: none.",
              standing.copy_age_s),
         ):  # fmt: skip
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -7,17 +7,28 @@
 import anyio
 import structlog
 
-from runloft.config.agreement.content import Content, Difference, Effective, content_of, effective, refusals
+from runloft.config.agreement.content import (
+    Content,
+    Difference,
+    Effective,
+    content_of,
+    effective,
+    refusals,
+    unreserved,
+)
 from runloft.config.agreement.member import (
     Adopt,
+    Begin,
     Effect,
     Exchange,
     Extend,
     Found,
     Keep,
     Member,
+    Put,
     Restore,
     Say,
+    Settle,
 )
 from runloft.config.faults import ConfigError
 from runloft.config.settings import AgreementSettings, Config, config_from_json
@@ -34,6 +45,7 @@
 
     generation: int = 0
     connected: bool = False
+    reserves: bool = False  # of the generation are held: it is under a lease
     differences: tuple[tuple[str, str, str], ...] = ()  # what, name, key
     held: tuple[str, ...] = ()
     copy_age_s: float = -1.0
@@ -63,23 +75,24 @@
         self.take: Callable[[Config], None] = lambda config: None
         raw = own.raw or {}
         self.member = Member(
-            own.name, uuid.uuid4().hex[:12], content_of(raw), settings.lease_ns, self._refuses, clock()
-        )
+            own.name, uuid.uuid4().hex[:12], content_of(raw), settings.lease_ns, settings.fence_ns,
+            self._refuses, clock(),
+        )  # fmt: skip
 
     def _refuses(self, content: Content) -> list[str]:
         return refusals(self.own.raw or {}, content)
 
     def start(self) -> Config:
-        """Begin with the copy that this machine has kept; give what is gone by."""
+        """Begin with the copy that this machine has kept; give what is gone by: without reserves, as yet."""
         try:
             kept = self.copy.read()
         except CopyError as error:
             log.warning("the local copy is passed over", error=str(error))
             kept = None
         if kept is None:
-            return self.own
+            return self.agreed(self.own)
         # Nothing runs yet that could write: what there is to keep has just been read.
-        for effect in self.member.remember(kept.force, kept.names, kept.age_s, self.clock()):
+        for effect in self.member.remember(kept.force, kept.age_s, self.clock()):
             if isinstance(effect, Adopt):
                 self.content = effect.content
             elif isinstance(effect, Say):
@@ -95,7 +108,9 @@
         raw = own.raw or {}
         got = effective(raw, self.content) if self.content else Effective(raw)
         config = own
-        if got.differences or got.held_plans or got.held_volumes:
+        if not self.standing.reserves:
+            got = replace(got, raw=unreserved(got.raw))
+        if got.differences or got.held_plans or got.held_volumes or not self.standing.reserves:
             config = self._configured(own, got)
         self._settled(got)
         return config
@@ -108,6 +123,8 @@
             # Guards the volumes: what this sidecar can't serve as agreed it doesn't serve otherwise.
             log.error("what is in force can't be served here: it is held", faults=error.faults)
             config, plans, volumes = own, frozenset(own.plan_names), frozenset[str]()
+        if not self.standing.reserves and self.settings.cut_off == "hold":
+            plans = frozenset(config.plan_names)
         known = config.objects.volumes if config.objects else {}
         ids = {volume.id for name, volume in known.items() if name in volumes}
         numbers = {index for index, name in enumerate(config.plan_names) if name in plans}
@@ -155,17 +172,18 @@
             match effect:
                 case Exchange():
                     await self._exchange(effect)
-                case Adopt(content, generation):
+                case Adopt(content, generation, reserves):
                     self.content, self.standing.generation = content, generation
+                    self.standing.reserves = reserves
                     self.take(self.agreed(self.own))
-                case Keep(force, names):
+                case Keep(force):
                     try:
-                        await anyio.to_thread.run_sync(self.copy.keep, force, names)
+                        await anyio.to_thread.run_sync(self.copy.keep, force)
                     except CopyError as error:
                         log.warning("no local copy was kept", error=str(error))
                 case Say():
                     self._say(effect)
-                case Restore() | Found() | Extend():
+                case Restore() | Found() | Extend() | Begin() | Settle():
                     await self._put(effect)
 
     async def _exchange(self, effect: Exchange) -> None:
@@ -180,7 +198,7 @@
             return
         await self._carry_out(self.member.seen(view, self.clock()))
 
-    async def _put(self, effect: Restore | Found | Extend) -> None:
+    async def _put(self, effect: Put) -> None:
         try:
             with anyio.fail_after(self.timeout_s):
                 match effect:
@@ -190,6 +208,10 @@
                         await self.store.found(effect)
                     case Extend():
                         await self.store.extend(effect)
+                    case Begin():
+                        await self.store.begin(effect)
+                    case Settle():
+                        await self.store.settle(effect)
         except (StoreError, TimeoutError) as error:
             log.debug("not written", what=type(effect).__name__, error=str(error))
 
--- a/runloft/rolling.py
+++ b/runloft/rolling.py
@@ -16,6 +16,8 @@
 import anyio
 
 from runloft.config.agreement.content import Content
+from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.member import Begin, Settle
 from runloft.config.agreement.records import View
 from runloft.config.agreement.rollout import (
     DropStage,
@@ -44,8 +46,8 @@
             case "roll", "back":
                 return _back(options)
             case "status", _:
-                return _with_store(options, lambda store: _status(store, options.json))
-        return _with_store(options, lambda store: _forget(store, options.name))
+                return _with_store(options, lambda store, _: _status(store, options.json))
+        return _with_store(options, lambda store, fence_ns: _forget(store, options.name, fence_ns))
     except ModuleNotFoundError as error:
         return misused(f"{error.name} is missing: pip install -r requirements-tools.txt")
 
@@ -53,7 +55,9 @@
 def _settings(options: argparse.Namespace, raws: Sequence[dict[str, Any]] = ()) -> AgreementSettings | None:
     """Find the store: as it is named here, or in operators' files."""
     if options.store:
-        return AgreementSettings(options.store, "", options.prefix, options.lease_ms * 1_000_000)
+        return agreement_of(
+            {"store": options.store, "directory": "", "prefix": options.prefix, "lease_ms": options.lease_ms}
+        )
     if not raws and getattr(options, "config", None):
         from runloft.config.operator import check_file
 
@@ -66,7 +70,7 @@
 
 def _with_store(
     options: argparse.Namespace,
-    act: Callable[[AgreementStore], Awaitable[int]],
+    act: Callable[[AgreementStore, int], Awaitable[int]],
     settings: AgreementSettings | None = None,
 ) -> int:
     settings = settings or _settings(options)
@@ -77,7 +81,7 @@
     async def main() -> int:
         store = AgreementStore(found.store, found.prefix, found.lease_ns, found.lease_ns / 4e9)
         try:
-            return await act(store)
+            return await act(store, found.fence_ns)
         except StoreError as error:
             print(f"runloft: the store: {error}", file=sys.stderr)
             return 1
@@ -107,7 +111,10 @@
     raws = [one.raw for one in checked]
     settings = _settings(options, raws)
     content = wanted(fleet, raws)
-    return _with_store(options, lambda store: roll_out(store, ways(fleet, content), options.json), settings)
+    plan = ways(fleet, content)
+    return _with_store(
+        options, lambda store, fence_ns: roll_out(store, plan, options.json, fence_ns=fence_ns), settings
+    )
 
 
 def _back(options: argparse.Namespace) -> int:
@@ -118,12 +125,12 @@
         tell(bad if fleet else faults)
         return 1
 
-    async def act(store: AgreementStore) -> int:
+    async def act(store: AgreementStore, fence_ns: int) -> int:
         force = (await store.view()).force
         if force is None or force.before is None:
             print("runloft: there is no generation before the one in force", file=sys.stderr)
             return 1
-        return await roll_out(store, ways(fleet, force.before), options.json)
+        return await roll_out(store, ways(fleet, force.before), options.json, fence_ns=fence_ns)
 
     return _with_store(options, act)
 
@@ -143,10 +150,15 @@
     as_json: bool = False,
     report: dict[str, Any] | None = None,
     quiet: bool = False,
+    fence_ns: int = 0,
 ) -> int:
-    """Carry a roll-out through; what it came to is put into ``report``."""
+    """Carry a roll-out through; what it came to is put into ``report``.
+
+    ``fence_ns``: of the sidecars (0: two leases); one whose lease tells of a longer fence is waited for.
+    """
     lease_ns = store.lease_ms * 1_000_000
-    out = RollOut(uuid.uuid4().hex[:12], me(), plan, lease_ns, time.monotonic_ns())
+    fence_ns = fence_ns or 2 * lease_ns
+    out = RollOut(uuid.uuid4().hex[:12], me(), plan, lease_ns, fence_ns, time.monotonic_ns())
     began = time.monotonic()
     told: list[str] = []
 
@@ -165,6 +177,10 @@
                     await carry_out(out.committed(done, time.monotonic_ns()))
                 case DropStage():
                     await store.drop_stage(effect)
+                case Begin():
+                    await store.begin(effect)
+                case Settle():
+                    await store.settle(effect)
 
     silent_since: float | None = None
     while not out.over:
@@ -187,10 +203,12 @@
     done = out.phase is Phase.DONE
     if report is not None:
         report |= {"done": done, "why": out.why, "seconds": time.monotonic() - began, "told": told}
+        report["left_out"] = sorted(out.left_out)
     if quiet:
         return 0 if done else 1
     if as_json:
-        print(json.dumps({"done": done, "why": out.why, "told": told, "unheard": sorted(out.unheard)}))
+        lists = {"unheard": sorted(out.unheard), "left_out": sorted(out.left_out)}
+        print(json.dumps({"done": done, "why": out.why, "told": told, **lists}))
     elif not done:
         print(f"runloft: stopped, what was in force stays: {out.why}", file=sys.stderr)
     return 0 if done else 1
@@ -198,7 +216,7 @@
 
 async def _status(store: AgreementStore, as_json: bool) -> int:
     view = await store.view()
-    rows = status_rows(view)
+    rows = status_rows(view, store.lease_ms * 1_000_000)
     force = view.force
     if as_json:
         keys = ("sidecar", "state", "generation", "since", "differences", "held")
@@ -220,25 +238,38 @@
     return 0
 
 
-def status_rows(view: View) -> list[tuple[str, str, str, str, str, str]]:
-    """Give a row for each sidecar that is known."""
+def status_rows(view: View, lease_ns: int) -> list[tuple[str, str, str, str, str, str]]:
+    """Give a row for each sidecar that is known; who is silent is told by the store's clock here."""
     rows = []
-    for name in sorted(view.names | view.leases.keys()):
+    for name in sorted(view.names):
         lease = view.leases.get(name)
         if lease is None:
-            rows.append((name, "silent", "", "", "", ""))
+            rows.append((name, "unknown", "", "", "", ""))
             continue
-        agrees = view.force is not None and (lease.generation, lease.digest) == view.force.rank
-        state = "agrees" if agrees else "changing"
+        agrees = view.force is not None and lease.serves == view.force.name
+        state = ("agrees" if lease.reserves else "unreserved") if agrees else "changing"
+        if view.now_ns - lease.heard_ns > lease_ns:
+            state = "silent"
         since = f"{(view.now_ns - lease.since_ns) / 1e9:.0f} s" if lease.since_ns else ""
         rows.append((name, state, str(lease.generation), since, str(lease.differences), str(lease.held)))
     return rows
 
 
-async def _forget(store: AgreementStore, name: str) -> int:
-    if await store.forget(name):
+async def _forget(store: AgreementStore, name: str, fence_ns: int) -> int:
+    """Take out a sidecar that has been seen silent for its fence: until then it may serve."""
+    view, still = await store.view(), Stillness()
+    lease = view.leases.get(name)
+    mark = lease.mark if lease else None
+    until_ns = max(fence_ns, lease.fence_ns) if lease else 0
+    until_ns += drift_ns(until_ns)
+    while lease is not None and still.lasts(lease.mark, time.monotonic_ns()) < until_ns:
+        await anyio.sleep(store.lease_ms / 1000 / ASKS)
+        lease = (await store.view()).leases.get(name)
+        if lease is not None and lease.mark != mark:
+            break
+    if name in view.names and await store.forget(name, mark):
         print(f"{name} is no longer known")
         return 0
-    print(f"runloft: {name} holds a lease: it is there", file=sys.stderr)
+    why = "is not known" if name not in view.names else "holds a lease: it is there"
+    print(f"runloft: {name} {why}", file=sys.stderr)
     return 1
-
--- a/runloft/sharing/agreement.py
+++ b/runloft/sharing/agreement.py
@@ -1,23 +1,27 @@
 """The agreement's records in Redis: each write names what it expects to find, each is whole or not at all.
 
-Keys, all under the prefix: ``force`` (no expiry), ``stage`` (runs out unless renewed), ``names`` (a set),
-``lease:NAME`` (runs out with the lease), ``verdicts`` (a hash, runs out with its stage).  ``force:rank``
-and ``stage:token`` are written with the two large ones, so that these are read when they have changed
-and not with every exchange.  Other keys are left alone.  Expiry and time are the store's own, so that no
-sidecar's clock matters.
+Keys, all under the prefix: ``force``, ``names`` (a set), ``lease:NAME`` and ``era`` (no expiry), ``stage``
+(runs out unless renewed), ``verdicts`` (a hash, runs out with its stage).  ``force:rank`` and
+``stage:token`` are written with the two large ones, so that these are read when they have changed and not
+with every exchange.  Other keys are left alone.  An exchange reads and writes a fixed number of small
+records, however many sidecars there are; names, leases and verdicts are read by the tool alone.
+
+A lease doesn't run out by the store's clock, which may step: who brings a generation into force watches
+its mark (``config.agreement.fencing``).
 """
 
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Iterable
 from dataclasses import replace
 from typing import Any, TypeVar, cast
 
 import anyio
 import redis.asyncio
+import structlog
 from redis.asyncio.retry import Retry
 from redis.backoff import NoBackoff
 from redis.exceptions import RedisError, WatchError
 
-from runloft.config.agreement.member import Exchange, Extend, Found, Restore
+from runloft.config.agreement.member import Begin, Exchange, Extend, Found, Restore, Settle
 from runloft.config.agreement.records import (
     Force,
     Lease,
@@ -31,6 +35,7 @@
 )
 from runloft.config.agreement.rollout import DropStage, PutForce, PutStage
 
+log = structlog.get_logger()
 STAGE_LEASES = 2  # a stage runs out after so many leases, unless it is renewed
 TRIES = 8  # of a transaction that others get in the way of
 T = TypeVar("T")
@@ -72,19 +77,14 @@
 
         async def ask() -> View:
             pipe = self._redis.pipeline(transaction=False)
-            pipe.set(self._key(f"lease:{lease.name}"), lease.dump(), px=self.lease_ms)
+            # Written before anything is read: who is told what is in force is known by then.
+            pipe.set(self._key(f"lease:{lease.name}"), lease.dump())
             pipe.sadd(self._key("names"), lease.name)
             if verdict is not None:
                 pipe.hset(self._key("verdicts"), verdict.name, verdict.dump())
                 pipe.pexpire(self._key("verdicts"), 2 * STAGE_LEASES * self.lease_ms)
-            pipe.time()
-            pipe.get(self._key("force:rank"))
-            pipe.get(self._key("stage:token"))
-            pipe.smembers(self._key("names"))
-            *_, clock, rank, token, names = await pipe.execute()
-            force = await self._held("force", rank, force_from)
-            stage = await self._held("stage", token, stage_from)
-            return View(_time(clock), force, stage, frozenset(map(_text, names)))
+            self._read(pipe)
+            return await self._view((await pipe.execute())[-4:])
 
         return await self._guarded(ask)
 
@@ -101,47 +101,73 @@
             known = self._known[name] = mark, await anyio.to_thread.run_sync(read, text)
         return cast(T, known[1])
 
+    def _read(self, pipe: Any) -> None:
+        pipe.time()
+        for name in ("era", "force:rank", "stage:token"):
+            pipe.get(self._key(name))
+
+    async def _view(self, read: list[Any]) -> View:
+        clock, era, rank, token = read
+        force = await self._held("force", rank, force_from)
+        stage = await self._held("stage", token, stage_from)
+        number, settled = _era(era)
+        return View(_time(clock), force, stage, era=number, settled=settled)
+
     async def view(self) -> View:
         """Read all there is, for the tool."""
 
         async def ask() -> View:
             pipe = self._redis.pipeline(transaction=True)
-            pipe.time()
-            pipe.get(self._key("force"))
-            pipe.get(self._key("stage"))
             pipe.smembers(self._key("names"))
             pipe.hgetall(self._key("verdicts"))
-            clock, force, stage, names, verdicts = await pipe.execute()
-            made = _view(clock, force, stage, names)
-            leases = await self._leases(self._redis, made.names)
-            answers = {_text(name): verdict_from(text) for name, text in verdicts.items()}
-            return replace(made, leases=leases, verdicts=answers)
+            self._read(pipe)
+            names, verdicts, *read = await pipe.execute()
+            known = frozenset(map(_text, names))
+            leases = await self._leases(self._redis, known)
+            answers = _readable(verdicts.items(), verdict_from)
+            return replace(await self._view(read), names=known, leases=leases, verdicts=answers)
 
         return await self._guarded(ask)
 
-    async def _leases(self, client: Any, names: frozenset[str]) -> dict[str, Lease]:
+    async def _leases(self, client: Any, names: Iterable[str]) -> dict[str, Lease]:
         some = sorted(names)
         texts = await client.mget([self._key(f"lease:{name}") for name in some]) if some else []
-        return {name: lease_from(text) for name, text in zip(some, texts, strict=True) if text is not None}
+        return _readable(zip(some, texts, strict=True), lease_from)
+
+    async def begin(self, effect: Begin) -> None:
+        """Begin an era of a store that has lost what it held, unless somebody has."""
+        await self._put_era(effect.expects, f"{effect.era}")
+
+    async def settle(self, effect: Settle) -> None:
+        """Say that an era has lasted for longer than any lease, if it still is this one."""
+        await self._put_era(effect.era, f"{effect.era} settled")
+
+    async def _put_era(self, expects: int, text: str) -> None:
+        async def change(pipe: Any) -> bool:
+            if _era(await pipe.get(self._key("era")))[0] != expects:
+                return False
+            pipe.multi()
+            pipe.set(self._key("era"), text)
+            return True
+
+        await self._changed(change, "era")
 
     async def restore(self, effect: Restore) -> None:
         """Put back what the store has lost, unless it holds a higher one."""
 
         async def change(pipe: Any) -> bool:
-            lower = rank_of(await self._force(pipe)) < effect.force.rank
+            if rank_of(await self._force(pipe)) >= effect.force.rank:
+                return False
             pipe.multi()
-            if effect.names:
-                pipe.sadd(self._key("names"), *sorted(effect.names))
-            if lower:
-                self._put(pipe, effect.force)
+            self._put(pipe, effect.force)
             return True
 
         await self._changed(change, "force")
 
     def _put(self, pipe: Any, force: Force) -> None:
         pipe.set(self._key("force"), force.dump())
-        generation, digest = force.rank
-        pipe.set(self._key("force:rank"), f"{generation} {digest} {force.token} {force.at_ns}")
+        era, generation, digest = force.rank
+        pipe.set(self._key("force:rank"), f"{era} {generation} {digest} {force.token} {force.at_ns}")
 
     async def found(self, effect: Found) -> None:
         """Put a first generation, where there is none."""
@@ -190,8 +216,10 @@
             held = await pipe.get(self._key("stage"))
             staged = held is not None and stage_from(held).token == effect.force.token
             names = frozenset(map(_text, await pipe.smembers(self._key("names"))))
-            live = await self._leases(pipe, names)
-            if not staged or names != effect.names or live.keys() != names:
+            marks = {name: lease.mark for name, lease in (await self._leases(pipe, effect.left_out)).items()}
+            if not staged or names != effect.names or marks != effect.left_out:
+                return False
+            if _era(await pipe.get(self._key("era")))[0] != effect.force.era:
                 return False
             if rank_of(await self._force(pipe)) != effect.expects:
                 return False
@@ -199,9 +227,15 @@
             pipe.multi()
             self._put(pipe, replace(effect.force, at_ns=at_ns))
             pipe.delete(self._key("stage"), self._key("stage:token"))
+            for name in sorted(effect.fenced):
+                self._drop(pipe, name)
             return True
 
-        return await self._changed(change, "force", "stage", "names")
+        return await self._changed(change, "force", "stage", "names", "era")
+
+    def _drop(self, pipe: Any, name: str) -> None:
+        pipe.delete(self._key(f"lease:{name}"))
+        pipe.srem(self._key("names"), name)
 
     async def drop_stage(self, effect: DropStage) -> None:
         """Take a stage back, if it is still this one."""
@@ -216,17 +250,22 @@
 
         await self._changed(change, "stage")
 
-    async def forget(self, name: str) -> bool:
-        """Take a sidecar that is gone for good out of the known ones; False while its lease holds."""
+    async def forget(self, name: str, mark: tuple[str, int] | None) -> bool:
+        """Take a sidecar that is gone out of the known ones; False where its mark has moved on.
+
+        ``mark`` None: it has no lease that can be read; one of a version before runs out by itself.
+        """
 
         async def change(pipe: Any) -> bool:
-            if await pipe.exists(self._key(f"lease:{name}")):
+            text = await pipe.get(self._key(f"lease:{name}"))
+            lease = _readable([(name, text)], lease_from).get(name)
+            if (lease.mark if lease else None) != mark or (lease is None and text is not None):
                 return False
             pipe.multi()
-            pipe.srem(self._key("names"), name)
+            self._drop(pipe, name)
             return True
 
-        return await self._changed(change, "names")
+        return await self._changed(change, f"lease:{name}")
 
     async def leave(self, name: str, incarnation: str) -> None:
         """Leave in order: a sidecar that has wound down is not silent, it is gone."""
@@ -236,8 +275,7 @@
             if held is None or lease_from(held).incarnation != incarnation:
                 return False  # its successor is there already
             pipe.multi()
-            pipe.delete(self._key(f"lease:{name}"))
-            pipe.srem(self._key("names"), name)
+            self._drop(pipe, name)
             return True
 
         await self._changed(change, f"lease:{name}")
@@ -281,10 +319,21 @@
     return int(seconds) * 1_000_000_000 + int(micros) * 1000
 
 
-def _view(clock: Any, force: Any, stage: Any, names: Any) -> View:
-    return View(
-        _time(clock),
-        force_from(force) if force is not None else None,
-        stage_from(stage) if stage is not None else None,
-        frozenset(map(_text, names)),
-    )
+def _era(value: bytes | None) -> tuple[int, bool]:
+    """Read an era: its number, and whether it has settled; none where it is no record of ours."""
+    words = value.split() if value is not None else []
+    if not words or not words[0].isdigit() or words[1:] not in ([], [b"settled"]):
+        return 0, False
+    return int(words[0]), len(words) == 2
+
+
+def _readable(texts: Iterable[tuple[Any, Any]], read: Callable[[bytes], T]) -> dict[str, T]:
+    """Read records by name; what is no record of ours is told and passed over, never obeyed."""
+    found = {}
+    for name, text in texts:
+        try:
+            if text is not None:
+                found[_text(name)] = read(text)
+        except RecordError as error:
+            log.debug("a record in the store is passed over", name=_text(name), error=str(error))
+    return found
--- a/runloft/sharing/copy.py
+++ b/runloft/sharing/copy.py
@@ -29,7 +29,6 @@
     """What was in force when it was kept, and how long ago that is by this machine's clock."""
 
     force: Force
-    names: frozenset[str]
     age_s: float
 
 
@@ -49,10 +48,11 @@
                 raise CopyError(f"{self.path}: {error}") from error
         return self._env
 
-    def keep(self, force: Force, names: frozenset[str]) -> None:
+    def keep(self, force: Force) -> None:
         """Write it, whole or not at all."""
+        # The version before reads other sidecars' names too: there are none to tell it.
         body = json.dumps(
-            {"name": self.name, "at_ns": self.unix_ns(), "names": sorted(names), "force": force.dump()}
+            {"name": self.name, "at_ns": self.unix_ns(), "names": [], "force": force.dump()}
         ).encode()
         sum_ = hashlib.sha256(body).hexdigest().encode()
         try:
@@ -87,7 +87,7 @@
                 raise CopyError(f"{self.path}: it is {raw['name']}'s")
             # Guards against a clock that was set back: an age is never below nothing.
             age = max(0.0, (self.unix_ns() - int(raw["at_ns"])) / 1e9)
-            return Copy(force_from(raw["force"]), frozenset(map(str, raw["names"])), age)
+            return Copy(force_from(raw["force"]), age)
         except (KeyError, TypeError, ValueError, RecordError) as error:
             raise CopyError(f"{self.path}: {error!r}") from None
 
