Count the stand-ins' bytes, and let several listeners lead to one store or agent

Cause: a scale run reads each role's bytes apart and cuts one region's listener while the other goes on. Change: connections count what goes over them by second; Keyspace and Instances may be shared by listeners; a whole list is encoded once for all watches; a silent server lets go of connections that were reset.

--- a/runloft/lab/discovery.py
+++ b/runloft/lab/discovery.py
@@ -11,15 +11,19 @@
 BEAT_S = 2.0
 
 
-class LabDiscovery(LabServer):
-    """One agent for all sidecars."""
+class Instances:
+    """What an agent knows; several listeners may tell it, each of which can be cut by itself."""
 
     def __init__(self) -> None:
-        super().__init__()
+        self.empty()
+        self.changed = anyio.Event()
+
+    def empty(self) -> None:
+        """Begin again with nothing, as an agent that kept nothing."""
         self.rev = 1
         self.targets: dict[str, dict[str, Any]] = {}
-        self._changed = anyio.Event()
-        self._changes: list[tuple[int, dict[str, Any]]] = []
+        self._changes: list[dict[str, Any]] = []  # of revisions 2, 3 and so on
+        self._whole: tuple[int, bytes] = (0, b"")
 
     def put(self, uid: str, endpoint: str, shard: int, model: str = "", **more: Any) -> None:
         """List a node, or change its entry."""
@@ -27,27 +31,49 @@
             "uid": uid, "endpoint": endpoint, "az": "a", "model": model, "pod_group": shard,
             "state": "in_service", "capacity_hint": 1.0, "boot_ms": 0,
         } | more  # fmt: skip
-        self._tell(uid, entry)
+        self._tell(entry)
         self.targets[uid] = entry
 
     def drain(self, uid: str) -> None:
         """Say that a node is on its way out."""
-        self._tell(uid, self.targets[uid] | {"state": "terminating"})
+        self._tell(self.targets[uid] | {"state": "terminating"})
         self.targets[uid]["state"] = "terminating"
 
     def remove(self, uid: str) -> None:
         """Say that a node is gone."""
-        self._tell(uid, self.targets.pop(uid) | {"state": "terminated"})
+        self._tell(self.targets.pop(uid) | {"state": "terminated"})
 
-    def _tell(self, uid: str, entry: dict[str, Any]) -> None:
+    def _tell(self, entry: dict[str, Any]) -> None:
         self.rev += 1
-        self._changes.append((self.rev, entry))
-        self._changed.set()
-        self._changed = anyio.Event()
+        self._changes.append(entry)
+        self.changed.set()
+        self.changed = anyio.Event()
+
+    def whole(self) -> bytes:
+        """Give the whole list, encoded once for all who ask."""
+        if self._whole[0] != self.rev:
+            message = {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
+            self._whole = self.rev, json.dumps(message).encode()
+        return self._whole[1]
+
+    def since(self, rev: int) -> bytes:
+        """Give what has changed since a revision; nothing where that is the present one."""
+        fresh = self._changes[max(0, rev - 1) :]
+        message = {"rev": self.rev, "all": False, "targets": fresh}
+        return json.dumps(message).encode() if fresh else b""
 
-    def listed(self) -> dict[str, Any]:
-        """Give the whole list."""
-        return {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
+
+class LabDiscovery(LabServer):
+    """One agent for all sidecars, or one more listener of it."""
+
+    def __init__(self, instances: Instances | None = None) -> None:
+        super().__init__()
+        self.instances = instances or Instances()
+        self.put, self.drain, self.remove = (
+            self.instances.put,
+            self.instances.drain,
+            self.instances.remove,
+        )
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one request."""
@@ -55,23 +81,21 @@
         target = (await lines.line()).split()[1].decode()
         while await lines.line():
             pass
-        await self.held()
+        await self.held(stream)
+        known = self.instances
         if "stream=1" not in target:
-            body = json.dumps(self.listed()).encode()
+            body = known.whole()
             await stream.send(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body))
             return
         await stream.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
-        known = int(target.rpartition("index=")[2] or 0)
-        first = True
+        told = int(target.rpartition("index=")[2] or 0)
+        data = known.whole() if told != known.rev else b""
         while True:
-            message: dict[str, Any] | None = None
-            if first and known != self.rev:
-                message = self.listed()
-            elif fresh := [entry for rev, entry in self._changes if rev > known]:
-                message = {"rev": self.rev, "all": False, "targets": fresh}
-            first = False
-            data = json.dumps(message).encode() + b"\n" if message else b"\n"
-            known = self.rev
+            told = known.rev
+            data += b"\n"
             await stream.send(b"%x\r\n%s\r\n" % (len(data), data))
-            with anyio.move_on_after(BEAT_S):
-                await self._changed.wait()
+            if told == known.rev:
+                with anyio.move_on_after(BEAT_S):
+                    await known.changed.wait()
+            await self.held(stream)
+            data = known.since(told)
--- a/runloft/lab/redis.py
+++ b/runloft/lab/redis.py
@@ -28,10 +28,12 @@
 class RedisStandIn(LabServer):
     """One store."""
 
-    def __init__(self) -> None:
+    def __init__(self, keys: Keyspace | None = None) -> None:
         super().__init__()
         self.clock_offset_ns = 0  # its clock may step
-        self.keys = Keyspace(lambda: time.time_ns() + self.clock_offset_ns)
+        self.round_trips = 0  # replies sent, however many commands each answers
+        # Several listeners may lead to the same data: each can be cut by itself.
+        self.keys = keys or Keyspace(lambda: time.time_ns() + self.clock_offset_ns)
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer commands in their order; what was read is carried out whether the reply comes or not."""
@@ -43,9 +45,10 @@
             data += b"*-1\r\n" if aborted else encoded(reply)
             if not lines.whole:
                 continue
-            await self.held()
+            await self.held(stream)
             if self.failures.loses():
                 await anyio.aclose_forcefully(stream)
                 return
+            self.round_trips += 1
             await stream.send(data)
             data = b""
--- a/runloft/lab/serving.py
+++ b/runloft/lab/serving.py
@@ -1,5 +1,8 @@
-"""What the stand-ins' servers share: a listener on loopback in a task group, and failures on command."""
+"""What the stand-ins' servers share: a listener on loopback, failures on command, and bytes counted."""
 
+import socket
+import time
+from collections import Counter
 from collections.abc import Awaitable, Callable
 from dataclasses import dataclass, field
 from random import Random
@@ -25,11 +28,59 @@
         return self.lost > 0 and self.chance.random() < self.lost
 
 
+@dataclass
+class Traffic:
+    """What went over a server's connections, in bytes; ``by_second`` of the monotonic clock, both ways."""
+
+    received: int = 0
+    sent: int = 0
+    by_second: Counter[int] = field(default_factory=Counter)
+
+    def count(self, received: int, sent: int) -> None:
+        """Add what went just now."""
+        self.received, self.sent = self.received + received, self.sent + sent
+        self.by_second[int(time.monotonic())] += received + sent
+
+    def worst(self, since: float) -> int:
+        """Give the most bytes of any second from then on."""
+        return max((n for second, n in self.by_second.items() if second >= int(since)), default=0)
+
+
+class Counted(anyio.abc.SocketStream):
+    """A connection whose bytes are counted."""
+
+    def __init__(self, inner: anyio.abc.SocketStream, traffic: Traffic) -> None:
+        self.inner, self.traffic = inner, traffic
+
+    @property
+    def _raw_socket(self) -> socket.socket:
+        return self.inner._raw_socket
+
+    async def receive(self, max_bytes: int = 65536) -> bytes:
+        """Receive and count."""
+        data = await self.inner.receive(max_bytes)
+        self.traffic.count(len(data), 0)
+        return data
+
+    async def send(self, item: bytes) -> None:
+        """Count and send."""
+        self.traffic.count(0, len(item))
+        await self.inner.send(item)
+
+    async def send_eof(self) -> None:
+        """Say that nothing more comes."""
+        await self.inner.send_eof()
+
+    async def aclose(self) -> None:
+        """Close it."""
+        await self.inner.aclose()
+
+
 class LabServer:
     """One listener on a loopback port that the system chooses."""
 
     def __init__(self) -> None:
-        self.failures = Failures()
+        self.failures, self.traffic = Failures(), Traffic()
         self.address = ""
         self.streams: set[anyio.abc.SocketStream] = set()
 
@@ -45,6 +96,7 @@
         await listener.serve(self._handle)
 
     async def _handle(self, stream: anyio.abc.SocketStream) -> None:
+        stream = Counted(stream, self.traffic)
         async with stream:
             self.streams.add(stream)
             try:
@@ -61,15 +113,18 @@
 
     async def reset(self) -> None:
         """Break off every connection."""
-        for stream in list(self.streams):
+        broken, self.streams = self.streams, set()
+        for stream in broken:
             await anyio.aclose_forcefully(stream)
 
-    async def held(self) -> None:
-        """Wait as long as the server is slow or silent."""
+    async def held(self, stream: anyio.abc.SocketStream) -> None:
+        """Wait as long as the server is slow or silent, and no longer than the connection is there."""
         if self.failures.delay_s:
             await anyio.sleep(self.failures.delay_s)
         while self.failures.silent:
-            await anyio.sleep(0.01)
+            await anyio.sleep(0.02)
+            if stream not in self.streams:
+                raise anyio.ClosedResourceError
 
 
 class Lines:
