Run hollow schedulers by the hundred and fit figures by size: runloft lab scale

Cause: what a fleet's control plane costs by its size was not measured. Change: schedulers without clients (real watch, agreement, turn and module) in worker processes, stand-ins and the tool in processes of their own; processor time, memory and bytes by role; events; bounds, deadline, partial results.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -45,6 +45,9 @@
     rollouts.add_argument("--lost", default="0,0.5", metavar="PART,...", help="of the store's replies")
     rollouts.add_argument("--lease-ms", type=float, default=1000.0)
     rollouts.add_argument("--seed", type=int, default=1)
+    from runloft.lab.scale import options as options_of_scale
+
+    options_of_scale.add_parser(actions)
     return top
 
 
@@ -99,10 +102,15 @@
     try:
         # Loaded here: nothing but the laboratory needs it.
         from runloft.lab import commands, rollouts
+
+        if options.action == "scale":
+            from runloft.lab.scale import commands as scale
     except ModuleNotFoundError as error:
         print(f"runloft: {error.name} is missing: pip install -r requirements-tools.txt", file=sys.stderr)
         return 2
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
+    if options.action == "scale":
+        return scale.run(options)
     return rollouts.run(options) if options.action == "rollouts" else commands.run(options)
 
 
--- /dev/null
+++ b/runloft/lab/scale/tool.py
@@ -0,0 +1,47 @@
+"""The roll-out tool in a process of its own: each roll-out brings another content."""
+
+import time
+from collections.abc import Callable, Sequence
+from typing import Any
+
+from runloft.config.agreement.content import Content, content_of
+from runloft.lab.scale.child import Role
+from runloft.rolling import roll_out
+from runloft.sharing.agreement import AgreementStore
+
+
+def changed(number: int, own: Content) -> Callable[[Content | None], Sequence[Content]]:
+    """Plan what was never in force before: every plan's parts are other ones with each number."""
+
+    def plan(old: Content | None) -> Sequence[Content]:
+        base = old or own
+        plans = {name: {**row, "Parts": 2.0 + number / 1024} for name, row in base.plans.items()}
+        return [Content(base.classes, plans, base.volumes, base.shared)]
+
+    return plan
+
+
+class ToolRole(Role):
+    """The tool; its start-up is not part of what a roll-out takes."""
+
+    async def do_roll(
+        self, url: str, lease_ms: int, number: int, raw: dict[str, Any], most_s: float
+    ) -> dict[str, Any]:
+        """Roll out; what it came to, seconds of the monotonic clock, and its processor time."""
+        import anyio
+
+        store = AgreementStore(url, "runloft", lease_ms * 1_000_000, lease_ms / 4000)
+        report: dict[str, Any] = {"done": False, "why": f"not over in {most_s:g} s"}
+        began, cpu = time.monotonic(), time.process_time()
+        try:
+            with anyio.move_on_after(most_s):
+                await roll_out(store, changed(number, content_of(raw)), True, report, True)
+        finally:
+            await store.close()
+        return {
+            "began": began,
+            "ended": time.monotonic(),
+            "cpu_s": time.process_time() - cpu,
+            "done": report["done"],
+            "why": str(report["why"]),
+        }
