--- a/runloft/lab/scale/engine.py
+++ b/runloft/lab/scale/engine.py
@@ -17,7 +17,7 @@
 from runloft.lab.scale.fitting import slopes
 from runloft.lab.scale.fleet import Fleet, Setup
 from runloft.lab.scale.points import measure
-from runloft.lab.scale.processes import Children
+from runloft.lab.scale.processes import ChildError, Children
 from runloft.lab.scale.records import Event, Point, Result, Sizes
 
 DATA_PATH = ("clients", "statements")  # measured at one real scheduler
@@ -113,7 +113,8 @@
                 try:
                     found = await self._point(vary, sizes)
                 except (Exception, ExceptionGroup) as error:
-                    self._lack(what, error)
+                    if self._lack(what, error):
+                        return
                 else:
                     if found is not None:
                         self.points.append(Point(vary, sizes, repeat, *found))
@@ -121,7 +122,8 @@
             try:
                 await self._events(repeat)
             except (Exception, ExceptionGroup) as error:
-                self._lack(f"events, repeat {repeat}", error)
+                if self._lack(f"events, repeat {repeat}", error):
+                    return
 
     async def _point(self, vary: str, sizes: Sizes) -> tuple[float, dict[str, float]] | None:
         setup = self.order.setup
@@ -176,11 +178,13 @@
         shown = ", ".join(f"{key} {value:.4g}" for key, value in figures.items())
         self.order.setup.progress(f"{name}: {shown}")
 
-    def _lack(self, what: str, error: BaseException) -> None:
+    def _lack(self, what: str, error: BaseException) -> bool:
+        """Mark what failed; True where a child died, after which nothing more is measured."""
         text = "; ".join(f"{type(one).__name__}: {one}" for one in leaves(error))
         self.missing.append(f"{what}: {text}")
         self.why = self.why or text
         self.order.setup.progress(f"{what} failed: {text}")
+        return any(isinstance(one, ChildError) for one in leaves(error))
 
     def _lacks(self) -> None:
         """Name what is not there because the run was broken off."""
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -174,6 +174,21 @@
     assert found.group_contains(ChildError, match="store 1 died with 1: out of ideas")
 
 
+def test_after_a_childs_death_nothing_more_is_measured_and_all_of_it_is_marked(monkeypatch):
+    async def measure(sizes, setup, folder):
+        if sizes.schedulers == 2:
+            return 1.0, {"store.cpu": 0.5}
+        raise ExceptionGroup("", [ChildError("hollow 1 died with -9: its last words")])
+
+    monkeypatch.setattr("runloft.lab.scale.engine.measure", measure)
+    result = anyio.run(Run(Order(SETUP, SMALL, (("schedulers", (2, 3, 4)),), ("change",))).run)
+    assert [one.figures for one in result.points] == [{"store.cpu": 0.5}]
+    died = "ChildError: hollow 1 died with -9: its last words"
+    assert result.missing == tuple(
+        f"{one}, repeat 0: {died}" for one in ("schedulers=3", "schedulers=4", "change")
+    )
+
+
 def test_a_child_ends_itself_when_its_parent_is_gone(tmp_path):
     command = [sys.executable, "-m", "runloft.lab.scale.child", "discovery"]
     process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, cwd=ROOT)
