--- a/runloft/lab/discovery.py
+++ b/runloft/lab/discovery.py
@@ -49,11 +49,14 @@
         self.changed.set()
         self.changed = anyio.Event()
 
+    def listed(self) -> dict[str, Any]:
+        """Give the whole list."""
+        return {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
+
     def whole(self) -> bytes:
         """Give the whole list, encoded once for all who ask."""
         if self._whole[0] != self.rev:
-            message = {"rev": self.rev, "all": True, "targets": list(self.targets.values())}
-            self._whole = self.rev, json.dumps(message).encode()
+            self._whole = self.rev, json.dumps(self.listed()).encode()
         return self._whole[1]
 
     def since(self, rev: int) -> bytes:
@@ -69,11 +72,8 @@
     def __init__(self, instances: Instances | None = None) -> None:
         super().__init__()
         self.instances = instances or Instances()
-        self.put, self.drain, self.remove = (
-            self.instances.put,
-            self.instances.drain,
-            self.instances.remove,
-        )
+        known = self.instances
+        self.put, self.drain, self.remove, self.listed = known.put, known.drain, known.remove, known.listed
 
     async def serve(self, stream: anyio.abc.SocketStream) -> None:
         """Answer one request."""
