--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -19,7 +19,7 @@
 from runloft.config.agreement.content import Content
 from runloft.config.agreement.member import Begin, Exchange, Extend, Found, Restore, Settle
 from runloft.config.agreement.records import NOTHING, Force, Lease, Stage, Verdict
-from runloft.config.agreement.rollout import DropStage, PutForce, PutStage
+from runloft.config.agreement.rollout import PutForce, PutStage
 from runloft.lab.keyspace import Error, Keyspace, Session
 from runloft.lab.redis import RedisStandIn
 from runloft.sharing.agreement import AgreementStore, StoreError
