Count what a sidecar asks beside what it hears, so that no lease is younger than it is taken for

Cause: one count, of exchanges heard, told the tool both that a sidecar is silent and since when its lease is over. A sidecar that asks, deaf, hears one answer and is cut off then has a lease that its record says nothing of; within the two steps of one roll-out its generation, the next and the one behind were reserved by at once (the test forced it: 3 generations).

Who is silent is told by what it heard; that it is fenced by what it asked, or by how long what is in force has been seen to be.

--- a/runloft/config/agreement/fencing.py
+++ b/runloft/config/agreement/fencing.py
@@ -2,13 +2,14 @@
 
 A sidecar holds the reserves of what it serves by for ``fence_ns`` from the moment at which it *asked* in
 its last exchange that was answered with that generation as the one in force.  After that it is fenced: it
-reserves nothing until it has heard the store again.  Whoever brings a generation into force leaves a
-sidecar out only
-
-- once it has watched the sidecar's mark stand still for a lease, where the sidecar serves by what is in
-  force: it is one generation back then, as whoever misses a change is; or
-- once it has watched it for the fence and ``drift_ns``: the sidecar asked before its mark was first read,
-  so that it is fenced by now.
+reserves nothing until it has heard the store again.  Whoever brings the next generation into force leaves
+a sidecar out once it has been seen to hear nothing for a lease, and
+
+- its record says that it serves by what is in force: it is one generation back then, as whoever misses a
+  change is; or
+- it has been seen to ask nothing for the fence and ``drift_ns``: its last question was asked before its
+  record was first read, so that it holds no lease at all, and need not be known any more; or
+- what is in force has been seen to be for as long: a lease by anything before it was asked for before.
 
 Both measure by their own steady clocks; the store's clock may step as it likes.  A store that has lost
 what it held begins another era.  Until that has been watched for as long, by a sidecar or by the tool, no
--- a/runloft/config/agreement/member.py
+++ b/runloft/config/agreement/member.py
@@ -122,7 +122,7 @@
         self.next_beat = now
         self.differences, self.held, self.copy_age_s = 0, 0, -1.0
         self._since_store, self._cut_off = 0, False
-        self._asked_at, self._heard, self._heard_ns, self._failures = now, 0, 0, 0
+        self._asked_at, self._asked, self._heard, self._heard_ns, self._failures = now, 0, 0, 0, 0
         self._fresh = Stillness()  # of an era that is not yet gone by
 
     # What is asked of it
@@ -175,6 +175,7 @@
             effects.append(Say("cut off", self.served[0], "the store was not heard for a lease"))
         if now >= self.next_beat:
             self.next_beat, self._asked_at = now + self.lease_ns // BEATS, now
+            self._asked += 1
             effects.append(Exchange(self.lease(), self.verdict))
         return effects
 
@@ -184,7 +185,7 @@
         return Lease(
             self.name, self.incarnation, generation, digest, self.own.digest,
             self.differences, self.held, self._since_store, self.copy_age_s,
-            self._heard, self._heard_ns, self.fence_ns, self.reserves,
+            self._asked, self._heard, self._heard_ns, self.fence_ns, self.reserves,
         )  # fmt: skip
 
     # What it is told
@@ -208,7 +209,7 @@
         effects += self._eras(view, now)
         effects += self._empty(now) if view.force is None else self._told(view.force, view.now_ns, now)
         effects = self._renewed(view, effects)
-        effects += self._asked(view.stage, now)
+        effects += self._answered(view.stage, now)
         return effects
 
     def _eras(self, view: View, now: int) -> list[Effect]:
@@ -300,7 +301,7 @@
         adopted = Adopt(self.content, self.force.generation, self.reserves)
         return [adopted, Say("in force", self.force.generation)]
 
-    def _asked(self, stage: Stage | None, now: int) -> list[Effect]:
+    def _answered(self, stage: Stage | None, now: int) -> list[Effect]:
         """Answer a stage once; the answer goes with every exchange until another stage is there."""
         if stage is None:
             self.verdict = None
--- a/runloft/config/agreement/records.py
+++ b/runloft/config/agreement/records.py
@@ -9,6 +9,7 @@
 FORMAT = 1
 LEASE_FORMAT = 2  # 1 had no fence and ran out by the store's clock: whoever writes it can't be left out
 Rank = tuple[int, int, str]
+Mark = tuple[str, int]
 NOTHING: Rank = (0, 0, "")  # the rank of no generation at all
 
 
@@ -76,8 +77,9 @@
 class Lease:
     """What a sidecar serves by; it stays in the store until the sidecar leaves or has been fenced.
 
-    ``mark`` changes with every exchange that the sidecar heard an answer to.  Who watches it by a clock of
-    its own knows how long the sidecar has been silent, whatever the store's clock does.
+    ``hearing`` changes with every exchange that the sidecar heard an answer to, ``mark`` with every one that
+    it asked.  Who watches them by a clock of his own knows how long the sidecar has heard nothing, and how
+    long it has said nothing, whatever the store's clock does.
     """
 
     name: str
@@ -89,16 +91,22 @@
     held: int = 0
     since_ns: int = 0  # store's time from which it has served by this
     copy_age_s: float = -1.0  # of the local copy that it started from; below 0: it did not
+    asked: int = 0  # exchanges, since its start
     heard: int = 0  # exchanges that were answered, since its start
     heard_ns: int = 0  # store's time of the last of them: for those who read, nothing is decided by it
     fence_ns: int = 0  # it reserves nothing once it has heard no answer for so long
     reserves: bool = False  # it holds the reserves of what it serves by
 
     @property
-    def mark(self) -> tuple[str, int]:
+    def hearing(self) -> Mark:
         """Give what changes while it hears."""
         return self.incarnation, self.heard
 
+    @property
+    def mark(self) -> Mark:
+        """Give what changes while it asks, heard or not."""
+        return self.incarnation, self.asked
+
     @property
     def serves(self) -> tuple[int, str]:
         """Give what it serves by: generation, digest."""
@@ -204,8 +212,8 @@
         return Lease(
             str(raw["name"]), str(raw["incarnation"]), int(raw["generation"]), str(raw["digest"]),
             str(raw["own"]), int(raw["differences"]), int(raw["held"]), int(raw["since_ns"]),
-            float(raw["copy_age_s"]), int(raw["heard"]), int(raw["heard_ns"]), int(raw["fence_ns"]),
-            bool(raw["reserves"]),
+            float(raw["copy_age_s"]), int(raw["asked"]), int(raw["heard"]), int(raw["heard_ns"]),
+            int(raw["fence_ns"]), bool(raw["reserves"]),
         )  # fmt: skip
     except (KeyError, TypeError, ValueError) as error:
         raise RecordError(f"no lease: {error!r}") from None
--- a/runloft/config/agreement/rollout.py
+++ b/runloft/config/agreement/rollout.py
@@ -15,7 +15,7 @@
 from runloft.config.agreement.content import Content
 from runloft.config.agreement.fencing import Stillness, drift_ns
 from runloft.config.agreement.member import Begin, Settle
-from runloft.config.agreement.records import Force, Lease, Rank, Stage, View, rank_of
+from runloft.config.agreement.records import Force, Lease, Mark, Rank, Stage, View, rank_of
 
 PATIENCE = 4  # leases: for answers, and for all to have changed
 FORESEEN = 2  # a part of the lease: so long before its moment a change is written; two exchanges see it
@@ -45,17 +45,17 @@
 class PutForce:
     """Bring a generation into force.
 
-    Only while ``expects`` is in force, the stage is there, exactly ``names`` are known, and the marks of
-    those ``left_out`` still stand.  Those ``fenced`` are not known any more.  ``in_ns``: the moment, from
-    the store's time at which it is written.
+    Only while ``expects`` is in force, the stage is there, exactly ``names`` are known, those ``left_out``
+    have heard nothing more, and those ``fenced`` have asked nothing more: these are not known any more.
+    ``in_ns``: the moment, from the store's time at which it is written.
     """
 
     force: Force
     expects: Rank
     names: frozenset[str]
     in_ns: int
-    left_out: Mapping[str, tuple[str, int]] = field(default_factory=dict)
-    fenced: frozenset[str] = frozenset()
+    left_out: Mapping[str, Mark] = field(default_factory=dict)  # what each had heard
+    fenced: Mapping[str, Mark] = field(default_factory=dict)  # and what it had asked
 
 
 @dataclass(frozen=True, slots=True)
@@ -106,9 +106,12 @@
         self.wanted: Force | None = None
         self.step = 0
         self.renewed_at = now
-        self._era = Stillness()
+        self._era, self._force = Stillness(), Stillness()
+        self._hearing: dict[str, Stillness] = {}
         self._marks: dict[str, Stillness] = {}
-        self._silent: dict[str, int] = {}  # how long each mark has been seen to stand still
+        self._deaf: dict[str, int] = {}  # how long each has been seen to hear nothing
+        self._mute: dict[str, int] = {}  # how long each has been seen to ask nothing
+        self._in_force = 0  # how long what is in force has been seen to be
 
     @property
     def over(self) -> bool:
@@ -121,8 +124,10 @@
 
     def seen(self, view: View, now: int) -> list[Effect]:
         """Heed what the store holds; asked for again and again until it is over."""
+        self._in_force = self._force.lasts((rank_of(view.force), view.era), now)
         for name, lease in view.leases.items():
-            self._silent[name] = self._marks.setdefault(name, Stillness()).lasts(lease.mark, now)
+            self._deaf[name] = self._hearing.setdefault(name, Stillness()).lasts(lease.hearing, now)
+            self._mute[name] = self._marks.setdefault(name, Stillness()).lasts(lease.mark, now)
         match self.phase:
             case Phase.READING:
                 return self._begin(view, now)
@@ -208,10 +213,12 @@
         return Stage(self._stage_token, generation, content, self.by, self.era)
 
     def _left_out(self, lease: Lease) -> tuple[bool, bool]:
-        """Say whether a sidecar may be left out of what comes next, and whether it is fenced by now."""
-        silent, fence = self._silent[lease.name], max(self.fence_ns, lease.fence_ns)
-        fenced = silent >= fence + drift_ns(fence)
-        return fenced or (silent >= self.lease_ns and self._abreast(lease)), fenced
+        """Say whether a sidecar may be left out of what comes next, and whether it is fenced for certain."""
+        fence = max(self.fence_ns, lease.fence_ns)
+        over = fence + drift_ns(fence)
+        fenced = self._mute[lease.name] >= over
+        none_back = fenced or self._abreast(lease) or self._in_force >= over
+        return self._deaf[lease.name] >= self.lease_ns and none_back, fenced
 
     def _abreast(self, lease: Lease) -> bool:
         return self.base is not None and lease.serves == self.base.name
@@ -230,13 +237,13 @@
         if foreign := view.foreign():
             known = ", ".join(sorted(foreign))
             return self._stop(f"known by no lease of this version, so it can't be left out: {known}")
-        left_out, fenced, waiting = {}, set(), set()
+        left_out, fenced, waiting = {}, {}, set()
         for name, lease in view.leases.items():
             may, is_fenced = self._left_out(lease)
             if may:
-                left_out[name] = lease.mark
+                left_out[name] = lease.hearing
             if is_fenced:
-                fenced.add(name)
+                fenced[name] = lease.mark
             # A sidecar that restarted after its answer has to give it again.
             answered = name in verdicts and verdicts[name].incarnation == lease.incarnation
             if not may and not (answered and (self.base is None or self._abreast(lease))):
@@ -258,7 +265,7 @@
         if left_out:
             said += f"; silent and left out: {', '.join(sorted(left_out))}"
         return [
-            PutForce(self.wanted, rank, names, self.lease_ns // FORESEEN, left_out, frozenset(fenced)),
+            PutForce(self.wanted, rank, names, self.lease_ns // FORESEEN, left_out, fenced),
             Tell(said),
         ]
 
@@ -280,7 +287,7 @@
         late = {
             name
             for name, lease in view.leases.items()
-            if lease.serves != self.wanted.name and self._silent[name] < self.lease_ns
+            if lease.serves != self.wanted.name and self._deaf[name] < self.lease_ns
         }
         changed = view.force is not None and view.now_ns >= view.force.at_ns
         if changed and not late:
--- a/runloft/sharing/agreement.py
+++ b/runloft/sharing/agreement.py
@@ -216,8 +216,10 @@
             held = await pipe.get(self._key("stage"))
             staged = held is not None and stage_from(held).token == effect.force.token
             names = frozenset(map(_text, await pipe.smembers(self._key("names"))))
-            marks = {name: lease.mark for name, lease in (await self._leases(pipe, effect.left_out)).items()}
-            if not staged or names != effect.names or marks != effect.left_out:
+            out = await self._leases(pipe, effect.left_out.keys() | effect.fenced.keys())
+            moved = any(name not in out or out[name].hearing != was for name, was in effect.left_out.items())
+            moved |= any(name not in out or out[name].mark != was for name, was in effect.fenced.items())
+            if not staged or names != effect.names or moved:
                 return False
             if _era(await pipe.get(self._key("era")))[0] != effect.force.era:
                 return False
--- a/tests/test_agreement.py
+++ b/tests/test_agreement.py
@@ -136,13 +136,15 @@
                 self.stage = stage, self.clock + 2 * LEASE
             case PutForce(force, expects, names, in_ns, left_out, fenced):
                 staged = view.stage is not None and view.stage.token == force.token
-                marks = {name: self.leases[name].mark for name in left_out if name in self.leases}
-                if self.rank != expects or not staged or names != view.names or marks != left_out:
+                out = self.leases
+                moved = any(name not in out or out[name].hearing != was for name, was in left_out.items())
+                moved |= any(name not in out or out[name].mark != was for name, was in fenced.items())
+                if self.rank != expects or not staged or names != view.names or moved:
                     return False
                 if self.era != force.era:
                     return False
                 self.force, self.stage = replace(force, at_ns=self.clock + in_ns), None
-                self.names -= fenced
+                self.names -= fenced.keys()
                 self.leases = {name: lease for name, lease in self.leases.items() if name not in fenced}
             case DropStage(token):
                 if self.stage and self.stage[0].token == token:
@@ -483,6 +485,24 @@
     assert one.reserves and one.member.served == world.store.name
 
 
+def test_one_answer_heard_between_lost_ones_counts_though_its_record_says_nothing_of_it():
+    """It asks, deaf; hears one answer just before the first of two steps; and asks no more."""
+    world = settled_world()
+    one = world.sidecars[0]
+    one.link = "deaf"
+    world.advance((LEASE + TICK) // TICK)
+    tool = Tool("t", CHOICES[1], world.now)  # in two steps
+    world.tools.append(tool)
+    while tool.out.phase is not Phase.ASKING or world.now + 3 * TICK < tool.out.since + LEASE:
+        world.advance(1)
+    one.link, one.member.next_beat = "up", world.now
+    one.turn(world.store, world.now, world.chance)
+    one.link = "down"
+    assert one.reserves
+    world.advance(5 * FENCE // TICK)  # World.check holds the rule at each instant
+    assert tool.out.phase is Phase.DONE and len(tool.out.steps) == 2
+
+
 def test_a_sidecar_that_is_cut_off_reserves_nothing_once_its_fence_is_over():
     world = settled_world()
     one = world.sidecars[0]
@@ -707,7 +727,7 @@
     assert force_from(force.dump()) == force
     stage = Stage("t.0", 4, CHOICES[1], "me")
     assert stage_from(stage.dump()) == stage
-    lease = Lease("s", "i", 3, "d", "o", 1, 2, 9, 4.0, 5, 6, 7, True)
+    lease = Lease("s", "i", 3, "d", "o", 1, 2, 9, 4.0, 5, 4, 6, 7, True)
     assert lease_from(lease.dump()) == lease
     verdict = Verdict("s", "i", "t.0", ("no",))
     assert verdict_from(verdict.dump()) == verdict
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -32,8 +32,8 @@
 ONE, TWO = Content({}, {"p": {"Parts": 1.0}}, {}, {}), Content({}, {"p": {"Parts": 2.0}}, {}, {})
 
 
-def lease(name="s0", incarnation="i", heard=0):
-    return Lease(name, incarnation, 1, ONE.digest, ONE.digest, heard=heard, fence_ns=2 * LEASE)
+def lease(name="s0", incarnation="i", asked=0, heard=0):
+    return Lease(name, incarnation, 1, ONE.digest, ONE.digest, asked=asked, heard=heard, fence_ns=2 * LEASE)
 
 
 def play(check):
@@ -89,18 +89,21 @@
         await store.begin(Begin(7, 0))
         await store.found(Found(Force(1, ONE)))
         await store.exchange(Exchange(lease()))
-        await other.exchange(Exchange(lease("s1", heard=4)))
+        await other.exchange(Exchange(lease("s1", asked=5, heard=4)))
         rank = (0, 1, ONE.digest)
         assert await store.put_stage(PutStage(Stage("t.0", 2, TWO), rank))
-        names, marks = frozenset(("s0", "s1")), {"s1": ("i", 4)}
-        put = PutForce(Force(2, TWO, token="t.0", era=7), rank, names, LEASE, marks, frozenset(marks))
-        await other.exchange(Exchange(lease("s1", heard=5)))  # it hears again
-        assert not await store.put_force(put)
-        assert not await store.forget("s1", ("i", 4))
-        assert await store.put_force(replace(put, left_out={"s1": ("i", 5)}))
+        names = frozenset(("s0", "s1"))
+        put = PutForce(
+            Force(2, TWO, token="t.0", era=7), rank, names, LEASE, {"s1": ("i", 4)}, {"s1": ("i", 5)}
+        )
+        await other.exchange(Exchange(lease("s1", asked=6, heard=5)))  # it hears again
+        assert not await store.put_force(replace(put, fenced={}))
+        assert not await store.put_force(replace(put, left_out={}))
+        assert not await store.forget("s1", ("i", 5))
+        assert await store.put_force(replace(put, left_out={"s1": ("i", 5)}, fenced={"s1": ("i", 6)}))
         assert (await store.view()).names == {"s0"} == (await store.view()).leases.keys()
-        await other.exchange(Exchange(lease("s1", heard=5)))  # deaf, but it is there
-        assert await store.forget("s1", ("i", 5)) and (await store.view()).names == {"s0"}
+        await other.exchange(Exchange(lease("s1", asked=7, heard=5)))  # deaf, but it is there
+        assert await store.forget("s1", ("i", 7)) and (await store.view()).names == {"s0"}
 
     play(check)
 
