Heed a reload that crosses the start in place of dropping it or ending by it

Seen by reading, then forced on real sockets. SIGHUP while the program's modules were loaded (about 0.2 s of processor time) had its own meaning and ended the process; between `load_config` and the signal receiver it was ignored (`cli.main`: SIG_IGN), so that a file that moves discovery at that moment was never read: the program watched the old discovery for good, and what the new one tells counts as told 4 s later.

Now SIGHUP is blocked from `__main__` on (`serve` alone), and let through once the receiver is there: it waits and is then a reload like any other. What is left is the interpreter's own start and the package's first import, 0.11 s of processor time measured, in which SIGHUP still ends the process.

Test: `test_a_reload_that_crosses_the_start_is_heeded`, both cases; fails at 'loading' with the block in `__main__` taken out, at 'its file was read' without the one in `cli.main` or without the unblocking in `serve`, and in both cases before the change.

--- a/runloft/__main__.py
+++ b/runloft/__main__.py
@@ -1,8 +1,13 @@
 """``python -m runloft``."""
 
+import signal
 import sys
 
-from runloft.cli import main
+if sys.argv[1:2] == ["serve"]:
+    # Guards the start: a reload that comes while all this is loaded would end the program; it waits.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+
+from runloft.cli import main  # takes the most of the start
 
 if __name__ == "__main__":
     sys.exit(main())
--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -78,8 +78,8 @@
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
     )
-    # Guards the start: a reload that comes before there is anything to reload must not end the program.
-    signal.signal(signal.SIGHUP, signal.SIG_IGN)
+    # Guards the start: a reload that comes before there is anything to reload waits until ``serve`` heeds it.
+    signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))  # before it serves there is nothing to wind down
     if not options.config:
         print("runloft: no configuration: give --config or set ROUTER_CONFIG", file=sys.stderr)
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -162,6 +162,7 @@
     runner = Runner(core, deadlines, clock)
     signals = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with signals as received:
+        signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))  # one that came before is heeded now
         await _serve(config, path, runner, received, agreeing)
         # Guards the exit code: what is left is the way out, whatever signal still comes.
         signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -1,7 +1,10 @@
 """SIGHUP: what a new file changes, what it can't change, and what it must not disturb."""
 
 import json
+import os
 import signal
+import subprocess
+import sys
 from dataclasses import replace
 
 import anyio
@@ -54,6 +57,50 @@
             part.close()
 
 
+STARTING = """
+import os, runpy, signal, sys
+where, fresh = sys.argv[1:]
+sys.argv[1:] = ["serve"]
+def change():
+    os.replace(fresh, os.environ["ROUTER_CONFIG"])
+    os.kill(os.getpid(), signal.SIGHUP)
+class Importing:
+    def find_spec(name, *_):
+        if name == "runloft.cli":
+            change()
+if where == "loading":
+    sys.meta_path.insert(0, Importing)
+    runpy.run_module("runloft", run_name="__main__")
+from runloft import cli
+load = cli.load_config
+cli.load_config = lambda path: (load(path), change())[0]
+sys.exit(cli.main())
+"""
+
+
+@pytest.mark.parametrize("where", ["loading", "its file was read"])
+def test_a_reload_that_crosses_the_start_is_heeded(tmp_path, where):
+    """Before the receiver SIGHUP ended the process, or was dropped: it watched the old discovery for good."""
+    old, new = Discovery(), Discovery()
+    path, fresh = tmp_path / "config.json", tmp_path / "fresh.json"
+    path.write_text(json.dumps(config(old.address, [])))
+    fresh.write_text(json.dumps(config(new.address, [])))
+    process = subprocess.Popen(
+        [sys.executable, "-c", STARTING, where, str(fresh)],
+        env=os.environ | {"ROUTER_CONFIG": str(path)},
+        stderr=subprocess.DEVNULL,
+    )
+    try:
+        until(lambda: new.watches)
+        process.terminate()
+        assert process.wait(10) == 0
+    finally:
+        process.kill()
+        process.wait(10)
+        for part in (old, new):
+            part.close()
+
+
 def changed(path, value):
     raw = config("127.0.0.1:1", [], "127.0.0.1:2")
     *way, last = path.split(".")
