Force a request that crosses the close of a resting client, and a long pipeline

Terms without a test of their own, on real sockets, each close in the very turn in which the request is here unread: - winding down, a long rest, room that is made: it is read and answered. Fails without `nothing_to_read` in `Client.close_if_idle` (two cases) or in `AcceptingFront.make_room` (the third). - a pipeline three times as long as is taken at once is answered whole and in order. Fails without `_make_room` in `Client._written`, and where answers go out as they come. - nothing written is held back: TCP_NODELAY on accepted and on connecting sockets. Fails without either line.

No program code changed.

--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -13,7 +13,8 @@
 from runloft.config.settings import config_from_json
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Left, Served, Taken
-from runloft.fronts.resp import LINGER_NS, PIPELINED, RespFront
+from runloft.fronts.resp import IDLE_NS, LINGER_NS, PIPELINED, RespFront
+from runloft.net.sockets import connecting
 from tests.driver import MS, SECOND
 from tests.standins import Discovery, RespNode, config, entry, reset
 from tests.test_discovery import read_command
@@ -203,6 +204,67 @@
     play(story)
 
 
+CLOSERS = {
+    "the program winds down": lambda scene: scene.front.stop(),
+    "it has rested long": lambda scene: scene.wait(IDLE_NS / MS),
+    "room is made": lambda scene: scene.front.make_room(),
+}
+
+
+@pytest.mark.parametrize("closer", CLOSERS)
+def test_a_request_that_is_here_when_its_resting_connection_would_close_is_read_first(closer):
+    """Not read yet, and in that very turn: a close over it would be a reset."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(PING)
+        assert await anyio.to_thread.run_sync(sock.recv, 100) == b"+PONG\r\n"
+        await anyio.wait_all_tasks_blocked()
+        scene.wait(LINGER_NS / MS + 100)
+        sock.sendall(read_command(0))
+        CLOSERS[closer](scene)
+        await scene.until(scene.taken)
+        scene.taken()[0].answer(Served(b"ok"))
+        assert await anyio.to_thread.run_sync(sock.recv, 100) == b"$2\r\nok\r\n"
+        sock.close()
+
+    play(story)
+
+
+def test_a_pipeline_longer_than_is_taken_at_once_is_answered_whole_and_in_order():
+    """Its first answers wait for a request that is open; the rest of it waits in the socket meanwhile."""
+    many = 3 * PIPELINED
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(
+            read_command(0) + b"".join(b"*2\r\n$4\r\nPING\r\n$3\r\n%03d\r\n" % n for n in range(many))
+        )
+        await scene.until(lambda: scene.front.unread)  # its pipeline is full
+        scene.taken()[0].answer(Served(b"ok"))
+        wanted = b"$2\r\nok\r\n" + b"".join(b"$3\r\n%03d\r\n" % n for n in range(many))
+        got = b""
+        while len(got) < len(wanted):
+            got += await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert got == wanted
+        sock.close()
+
+    play(story)
+
+
+def test_what_is_written_is_held_back_on_no_connection():
+    """Small writes that the system holds back are lost where a close is a reset."""
+
+    async def story(scene):
+        sock = scene.connect()
+        accepted = next(iter(scene.front.clients)).sock
+        for one in (accepted, connecting()):
+            assert one.getsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY)
+        sock.close()
+
+    play(story)
+
+
 HOOKED = """
 import os, signal, sys
 from runloft import cli
@@ -228,8 +290,6 @@
 @pytest.mark.parametrize("where", ["start", "end"])
 def test_sigterm_ends_the_program_with_0_before_it_serves_and_on_its_way_out(tmp_path, where):
     """Before and behind the time in which signals were received, their own end of the process stood."""
-
-
     discovery, node = Discovery(), RespNode()
     path = tmp_path / "config.json"
     path.write_text(json.dumps(config(discovery.address, [entry(node.address)])))
@@ -249,5 +309,3 @@
         process.stderr.close()
         discovery.close()
         node.close()
-
-
