Force a late silence of the watch, a cut list, and a move away from a stuck discovery

Terms without a test of their own, on real sockets by the test's clock: - a watch with an empty line every 2 s stays, and its silence after 13 s is noticed so that the next call has its answer in time. Fails without the mark being set anew at each read, with none set, and with `SILENCE_NS` at 5 s. - a watch that is reset, ended or refused in a list, of a length or of none, is opened anew at once, from the last number that was whole, and half a list is none. Fails without `OSError` or `h11.ProtocolError` in `WATCH_ERRORS`, without the look at the status, with 1 s of backoff, or with another number. - a move waits neither for a silent call nor for the backoff at the old discovery. Fails without the cancel in `Watch.move`.

No program code changed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -12,7 +12,7 @@
 
 from runloft.core.deadlines import Deadlines
 from runloft.net.discovery import Messages, Watch
-from tests.standins import Discovery, Program, RespNode, config, entry, until
+from tests.standins import Discovery, Program, RespNode, config, entry, reset, until
 
 OK = b"$2\r\nok\r\n"
 DELTA = {"rev": 3, "all": False, "targets": [entry("127.0.0.1:1", uid='odd "{[ name')]}
@@ -144,6 +144,64 @@
     assert new.calls[0][1] == b"/registry/instances?stream=1&index=0"
 
 
+EMPTY = b"1\r\n\n\r\n"
+
+
+def test_a_watch_that_is_alive_stays_and_its_late_silence_is_noticed_in_time():
+    """On narrow days all fall silent, some after 13 s; until then an empty line comes every 2 s."""
+    agent, lines, last = Agent(), [1.9, 3.8, 5.7, 7.6, 9.5, 11.4, 13.0], 13.0
+    agent.answer = HEAD + EMPTY
+
+    def then(now, _):
+        if lines and now >= lines[0]:
+            lines.pop(0)
+            agent.clients[0].sendall(EMPTY)
+
+    watched([agent], last + TOLD_S, then=then)
+    _, second, *_ = [at for at, _ in agent.calls]
+    assert last + 2.0 < second <= last + TOLD_S - CALL_S  # silent to the end of a call, and answered in time
+
+
+HALF = json.dumps({"rev": 43, "all": True, "targets": [entry("127.0.0.1:1")]}, indent=2).encode()
+ENDS = {
+    "reset in a list": (HEAD + b"%x\r\n%s" % (len(HALF), HALF[:-20]), reset),
+    "ended in a list": (HEAD + b"%x\r\n%s" % (len(HALF), HALF[:-20]), socket.socket.close),
+    "reset in a list of no length": (b"HTTP/1.1 200 OK\r\n\r\n" + HALF[:-20], reset),
+    "reset": (HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE), reset),
+    "refused by its status": (b"HTTP/1.1 503 No\r\nContent-Length: %d\r\n\r\n%s" % (len(LINE), LINE), reset),
+}
+
+
+@pytest.mark.parametrize("how", ENDS)
+def test_a_watch_that_is_cut_off_is_opened_anew_at_once_and_half_a_list_is_none(how):
+    """A reset is no end: a node that the list's other half names would be taken for gone."""
+    agent = Agent()
+    agent.answer, cut = ENDS[how]
+
+    def then(now, _):
+        if len(agent.clients) == 1 and now > 0.1 and agent.clients[0].fileno() >= 0:
+            cut(agent.clients[0])
+
+    posted = watched([agent], 1, then=then)
+    assert 0.1 < agent.calls[1][0] <= 0.1 + 0.5 * GRACE_S
+    whole = how == "reset"
+    assert bool(posted) is whole
+    assert agent.calls[1][1].endswith(b"index=42" if whole else b"index=41")  # from the last that was whole
+
+
+@pytest.mark.parametrize("old", ["silent", "refusing"])
+def test_a_move_waits_for_nothing_at_the_old_discovery(old):
+    """What the new one has counts 4 s after SIGHUP, whatever the old one is doing then."""
+    agent, new = Agent(), Agent()
+    if old == "refusing":
+        agent.sock.close()
+        agent.look = lambda now: None
+    watched(
+        [agent, new], 1, asked=True, then=lambda now, watch: watch.move(new.where) if now > 0.45 else None
+    )
+    assert 0.45 < new.calls[0][0] <= 0.5
+
+
 IDS = count(1)
 
 
