--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,5 +1,6 @@
 """What comes between a decision and its first byte on the wire: real sockets, crossings forced."""
 
+import contextlib
 import socket
 
 import anyio
@@ -371,3 +372,50 @@
         assert b"d=1300" in await scene.read(second)
 
     play(monkeypatch, story)
+
+
+def test_what_came_and_went_leaves_nothing_behind(monkeypatch):
+    """45 minutes of it are the long day: answers, resets, silence, clients that leave, late connections."""
+    answers = (
+        lambda conn: conn.sendall(VALUE),
+        reset,
+        lambda conn: None,
+        lambda conn: conn.sendall(VALUE[:9]),
+    )
+
+    async def story(scene):
+        scene.listener.setblocking(False)
+        connections, askers = [], []
+
+        def look():
+            with contextlib.suppress(BlockingIOError):
+                connections.append(scene.listener.accept()[0])
+                connections[-1].setblocking(False)
+            for number, conn in enumerate(connections):
+                with contextlib.suppress(OSError):  # nothing there, or reset here or by the program
+                    if conn.recv(4096):
+                        answers[number % len(answers)](conn)
+
+        for number in range(80):
+            if number % 10 == 0:
+                scene.up = anyio.Event()
+            askers.append(scene.take(400, b"%016x" % number))
+            if number % 7 == 0:
+                scene.runner.post(Left(askers[-1]))
+            for _ in range(10):
+                await anyio.sleep(0)
+                look()
+                scene.turn(4)
+            if number % 10 == 6:
+                scene.up.set()
+        assert len(connections) > len(answers) and len({type(r) for a in askers for r in a.replies}) > 1
+        for _ in range(4):
+            await anyio.wait_all_tasks_blocked()
+            scene.turn(8000)
+        assert not (scene.core.requests or scene.core.attempts or scene.core.by_asker or scene.runner.events)
+        assert not (scene.link.open or scene.link.out or scene.link.idle or scene.link.waiting)
+        assert not scene.core.scheduler.tickets and not len(scene.runner.deadlines)
+        for conn in connections:
+            conn.close()
+
+    play(monkeypatch, story)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -252,6 +252,38 @@
     play(story)
 
 
+def test_clients_that_came_and_went_leave_nothing_behind():
+    """Of the long day's 45 minutes: some leave half-way, some err, some rest, some ask and are gone."""
+    sent = (
+        b"",
+        PING,
+        read_command(0),
+        read_command(0)[:30],
+        BAD * 9,
+        read_command(0) * (PIPELINED + 9),
+        QUIT,
+    )
+
+    async def story(scene):
+        socks = []
+        for number in range(6 * len(sent)):
+            socks.append(scene.connect())
+            socks[-1].sendall(sent[number % len(sent)])
+            await anyio.wait_all_tasks_blocked()
+            if number % 4 < 2:
+                (reset if number % 4 else socket.socket.close)(socks[-1])
+            scene.wait(100)
+        for asker in set(scene.taken()) - set(scene.left()):
+            asker.answer(Served(b"ok"))
+        for sock in socks:
+            sock.close()
+        await scene.until(lambda: scene.wait(50) or not scene.front.clients)
+        scene.wait(5000)
+        assert not scene.front.unread and not scene.front.buffers and not len(scene.deadlines)
+
+    play(story)
+
+
 def test_what_is_written_is_held_back_on_no_connection():
     """Small writes that the system holds back are lost where a close is a reset."""
 
--- /dev/null
+++ b/tests/test_standing.py
@@ -0,0 +1,104 @@
+"""Terms of the standing test that are no crossing: what the process may do, an answer of no length."""
+
+import shlex
+import signal
+import socket
+import subprocess
+import sys
+import tomllib
+from pathlib import Path
+
+import pytest
+
+from tests.standins import Discovery, Program, RespNode, config, entry, until
+from tests.test_discovery import OK, read_command
+from tests.test_objects import ITEM, World
+
+ROOT = Path(__file__).parent.parent
+
+# As the bench refuses them, and as it sees sockets: by the interpreter's own audit, which sees each of them.
+CONFINED = """
+import errno, os, sys
+REFUSED = {"os.fork", "os.forkpty", "os.exec", "os.posix_spawn", "os.system", "subprocess.Popen"}
+def refuse(*_):
+    print("REFUSED", file=sys.stderr, flush=True)
+    raise OSError(errno.ENOSYS, "refused")
+def audit(event, args):
+    if event in REFUSED:
+        refuse()
+    if event in ("socket.bind", "socket.connect") and not (isinstance(args[1], tuple) and len(args[1]) == 2):
+        refuse()
+for name in ("fork", "sendfile", "splice"):
+    setattr(os, name, refuse)
+sys.addaudithook(audit)
+from runloft.cli import main
+sys.exit(main(["serve"]))
+"""
+
+
+def test_it_serves_alone_with_ip_sockets_and_none_of_the_refused_calls(tmp_path, monkeypatch):
+    node, discovery = RespNode(), Discovery()
+    command = [sys.executable, "-c", CONFINED]
+    start = subprocess.Popen
+    monkeypatch.setattr(subprocess, "Popen", lambda _, **more: start(command, **more))
+    program = Program(config(discovery.address, [entry(node.address)]), tmp_path / "config.json")
+    try:
+        with program.connect() as client:
+            client.sendall(read_command(0))
+            assert client.recv(100) == OK
+        children = Path(f"/proc/{program.process.pid}/task/{program.process.pid}/children")
+        assert not children.read_text()
+        program.process.send_signal(signal.SIGHUP)
+        until(lambda: any("reloaded" in line for line in program.log))
+        assert program.terminate() == 0
+        assert not [line for line in program.log if "REFUSED" in line]
+    finally:
+        program.close()
+        for part in (node, discovery):
+            part.close()
+
+
+def test_the_deploy_files_run_becomes_the_one_process():
+    """No shell stays round it: signals and the library that is loaded into it meet the program itself."""
+    run = tomllib.loads((ROOT / "deploy/balancer.toml").read_text())["run"]
+    words = shlex.split(run, comments=True)
+    assert words[0] == "exec" and words[-2:] == ["runloft", "serve"]
+    assert not set(run) & set(";&|`$()<>\n")
+
+
+@pytest.fixture
+def world(tmp_path):
+    made = World(tmp_path)
+    yield made
+    made.close()
+
+
+@pytest.mark.parametrize("cut", [False, True])
+def test_an_answer_of_no_length_is_whole_at_its_end_and_not_at_a_reset(world, cut):
+    """A reset is no end: passed on as one, half an object would be taken for the whole."""
+    world.ask("PUT", body=b"x")
+    server = world.holder()
+
+    def serve(conn, lines):
+        while lines.readline().strip():
+            pass
+        conn.sendall(b"HTTP/1.1 200 OK\r\n\r\n" + b"a" * 1000)
+        server.held.wait(10)
+        if cut:
+            conn.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, b"\1\0\0\0\0\0\0\0")
+
+    server.held.clear()
+    server.serve = serve
+    for conn in server.connections:
+        conn.shutdown(socket.SHUT_RDWR)
+    with world.program.connect("ObjectFront") as sock:
+        sock.sendall(f"GET {ITEM} HTTP/1.1\r\nHost: x\r\n\r\n".encode())
+        got = b""
+        while b"a" * 1000 not in got:
+            got += sock.recv(65536)
+        server.held.set()
+        while data := sock.recv(65536):
+            got += data
+            if not cut and got.endswith(b"0\r\n\r\n"):
+                break
+    assert b"Transfer-Encoding: chunked" in got and got.endswith(b"0\r\n\r\n") is not cut
