Let a reply and two commands come byte by byte

Each is one answer, or one request, once it is whole and never before. The reply's test fails where a half reply closes the connection, and where the time for the rest is not set anew; the commands' where the half that was read is dropped. No program code changed.

--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -308,6 +308,24 @@
     play(monkeypatch, story)
 
 
+def test_a_reply_that_comes_byte_by_byte_is_one_answer(monkeypatch):
+    """Half a line is no reply yet, wherever it is cut; slowly as it comes, each byte buys it some time."""
+
+    async def story(scene):
+        scene.up.set()
+        asker = scene.take()
+        conn = await scene.node()
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for n in range(len(VALUE)):
+            assert not asker.replies
+            conn.sendall(VALUE[n : n + 1])
+            await until(lambda: next(iter(scene.link.open)).inbox.end > n or scene.runner.events)  # noqa: B023
+            scene.turn(25)
+        assert [reply.value for reply in asker.replies] == [b"ok"] and scene.link.idle
+
+    play(monkeypatch, story)
+
+
 def test_a_connection_that_never_comes_up_is_given_up_and_says_that_nothing_ran(monkeypatch):
     """One in fifty on the long day, others up to 1.5 s late: by those nothing of the request may leave."""
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -231,6 +231,22 @@
     play(story)
 
 
+def test_commands_that_come_byte_by_byte_are_taken_each_once_and_whole():
+    async def story(scene):
+        sock, words = scene.connect(), read_command(0) + read_command(0)
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        for n in range(len(words)):
+            assert len(scene.taken()) <= (n >= len(words) // 2)
+            sock.sendall(words[n : n + 1])
+            await anyio.sleep(0.0003)
+            scene.wait(5)
+        await scene.until(lambda: len(scene.taken()) == 2)
+        assert len({event.ask.id for event in scene.posted}) == 2
+        sock.close()
+
+    play(story)
+
+
 def test_a_pipeline_longer_than_is_taken_at_once_is_answered_whole_and_in_order():
     """Its first answers wait for a request that is open; the rest of it waits in the socket meanwhile."""
     many = 3 * PIPELINED
