Follow the last answer of the object front by a lingering close at SIGTERM

Seen by reading, then forced on real sockets: at the end of winding down `ObjectFront.stop` closed each kept connection between requests at once, and `ObjectClient.run` closed behind an answer with `Connection: close` in the same turn. A request that came just then met a closed socket; the reset took what its client had not read yet of the answer before it (a 60 kB answer was cut, ConnectionResetError).

Now within 0.5 s of an answer only sending ends, what comes is dropped, and the close follows the client's; a request read ahead while its client was slowed down is answered in place of being dropped. Winding down is no longer than before: it ends 0.6 s after the longest deadline whatever its clients do.

Off the platform: `objects` is not set there.

--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -174,22 +174,42 @@
         self.front, self.sock = front, sock
         self.protocol = h11.Connection(h11.SERVER, max_incomplete_event_size=HEAD_LIMIT)
         self.busy = self.ended = self.gone = self.spoke = False
+        self.lingers = False
+        self.reading = anyio.CancelScope()
         self.errors, self.used_at = 0, front.clock()
         self.method = b""
 
     async def run(self) -> None:
         """Serve requests until the connection is over."""
         try:
-            while not self.ended and await self._one():
-                self.protocol.start_next_cycle()
-                over = self.errors - FREE_ERRORS
-                if over > 0:  # guards the other clients against one that repeats what can't be served
-                    await pause(self.front.deadlines, self.front.clock, min(SLOWEST_S, SLOW_S * 2.0**over))
+            with self.reading:
+                await self._requests()
+            if self.front.stopping and self.spoke and not (self.ended or self.lingers):
+                await self._linger()
         except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
             log.debug("client connection over", error=repr(error))
         finally:
             self.end()
 
+    async def _requests(self) -> None:
+        while not self.ended and await self._one():
+            self.protocol.start_next_cycle()
+            over = self.errors - FREE_ERRORS
+            if over > 0:  # guards the other clients against one that repeats what can't be served
+                await pause(self.front.deadlines, self.front.clock, min(SLOWEST_S, SLOW_S * 2.0**over))
+
+    def close_if_idle(self) -> None:
+        """Close between requests; one that is already here is read first.
+
+        Guards the last answer: a request that comes just now would turn a close into a reset that takes it.
+        """
+        if self.busy or self.lingers or self.protocol.trailing_data[0] or not nothing_to_read(self.sock):
+            return
+        if self.front.clock() - self.used_at >= LINGER_S * 1e9:
+            self.end()
+        elif not self.reading.cancel_called:
+            self.reading.cancel()
+
     def end(self) -> None:
         """Close."""
         if not self.ended:
@@ -413,6 +433,7 @@
 
     async def _linger(self) -> None:
         """Read and drop what is still coming, for a moment: a close would reset the answer away."""
+        self.lingers = True
         self.sock.shutdown(socket.SHUT_WR)
         left = LINGER_BYTES
         with contextlib.suppress(TimeoutError), self.front.within(LINGER_S):
@@ -574,5 +595,4 @@
         """Close clients between requests; busy ones end after their answer."""
         self.stopping = True
         for client in list(self.clients):
-            if not client.busy and nothing_to_read(client.sock):
-                client.end()
+            client.close_if_idle()
