Spare fresh and just answered connections on the object front too when room is made

`ObjectFront.spared` gave fresh connections first and kept ones at once behind their answers: a close there resets the request on its way, or takes what is unread of the answer. RESP's front has spared both for 0.1 s; the figure is now the fronts' own.

--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -19,6 +19,7 @@
 BURST = 16  # connections accepted in a row; then the clients that are there have their turn
 CROWD_PART = 1 / 3  # of all descriptors, for clients: beyond it those go that can be spared
 CLIENT_PART = 1 / 2  # at most, while each of them is owed an answer
+FRESH_NS = 100_000_000  # after connecting, or an answer: so long a client is not parted with to make room
 PART_WITH = 8  # connections closed at a time: finding them costs a look at all
 
 
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -23,7 +23,7 @@
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Ask, Event, Failed, Left, Refused, Rejected, Reply, Served, Taken
 from runloft.decisions.contract import Ending
-from runloft.fronts.accepting import AcceptingFront
+from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
 from runloft.net.sockets import Budget, close, half_closed, nothing_to_read
 from runloft.net.timing import Clock, pause, within
@@ -501,7 +501,10 @@
 
     def spared(self) -> list[ObjectClient]:
         """Those between requests, the ones that never asked for anything first."""
-        return sorted((c for c in self.clients if not c.busy), key=lambda c: (c.spoke, c.used_at))
+        # Guards requests on their way by new connections, and last answers: a reset would lose either.
+        old = self.clock() - FRESH_NS
+        idle = [c for c in self.clients if c.lingers or not (c.busy or c.used_at > old)]
+        return sorted(idle, key=lambda c: (not c.lingers, c.spoke, c.used_at))
 
     def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
         """Limit what is inside to so many seconds."""
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -13,7 +13,7 @@
 from runloft.config.settings import Config
 from runloft.core.deadlines import Mark
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
-from runloft.fronts.accepting import AcceptingFront
+from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
 from runloft.net.sockets import Inbox, Outbox, close, half_closed, nothing_to_read
@@ -31,7 +31,6 @@
 STUCK_NS = 5_000_000_000  # a client that reads nothing of its answers for so long is gone
 LINGER_NS, LINGER_BYTES = 300_000_000, 256 << 10  # what is still read, and dropped, behind the last answer
 STOP_LINGER_NS = 100_000_000  # the same once the program is about to end
-FRESH_NS = 100_000_000  # after connecting, or an answer: so long a client is not parted with to make room
 LOOK_NS = 40_000_000  # between looks at clients that are not read: who has left wants no attempt 0.1 s later
 FREE_ERRORS, MOST_ERRORS = 4, 24  # in a row on one connection: before it is slowed down, and closed
 SLOW_S, SLOWEST_S = 0.01, 0.25
--- a/tests/test_standing_objects.py
+++ b/tests/test_standing_objects.py
@@ -163,3 +163,21 @@
         sock.close()
 
     play(story)
+
+
+def test_room_is_made_by_those_that_rest_and_not_by_those_just_answered_or_come():
+    """In a crowd fresh connections went first, and kept ones right behind their answers."""
+
+    async def story(scene):
+        (old, _), (answered, client) = scene.connect(), scene.connect()
+        await anyio.wait_all_tasks_blocked()
+        scene.wait(150)
+        answered.sendall(ASK)
+        await scene.until(scene.asked)
+        await scene.answer(client, scene.asked()[0])
+        fresh, _ = scene.connect()
+        assert [one.sock.getpeername() for one in scene.front.spared()] == [old.getsockname()]
+        for sock in (old, answered, fresh):
+            sock.close()
+
+    play(story)
