Work the capacity page's tables out from committed results, and check them

Cause: what each role takes at 450 schedulers was written nowhere, and a page of figures goes out of date unnoticed. A cell is marked m, w, g, given or limit; what has no slope is "not measured". tests/test_capacity.py works the page out again.

--- /dev/null
+++ b/runloft/lab/scale/capacity.py
@@ -0,0 +1,554 @@
+"""The tables of docs/CAPACITY.md, worked out from committed results and the size: ``lab capacity``.
+
+A cell says where it comes from: m measured, w worked out, g guess.  What has no slope is ``not measured``.
+"""
+
+import argparse
+import re
+import sys
+from collections.abc import Mapping, Sequence
+from dataclasses import dataclass, replace
+from itertools import pairwise
+from pathlib import Path
+from statistics import fmean, median
+
+from runloft.lab.scale.records import Point, Result, ResultError, Sizes, Slope, dimensions, result_from
+from runloft.lab.scale.roles import (
+    BESIDE,
+    BUDGETS,
+    DAY,
+    EVENTS,
+    GUESSED,
+    MACHINES,
+    REGION_AWAY,
+    ROWS,
+    STATE,
+    ZONE_AWAY,
+    Budget,
+    EventKind,
+    Row,
+    settings_needed,
+)
+
+DOCUMENTS = ("before", "full", "datapath")
+MISSING = "not measured"
+ENOUGH = 0.99  # part of what has to be there that counts as all of it
+NOTICED = 0.1  # part of a figure from which on it is said to grow with a size
+GUESS_PART = 0.01  # part of a figure from which on a guessed size makes it a guess
+BENDS = 1.5  # the last slope between two sizes by the first
+TABLE = re.compile(r"(<!-- table: ([a-z0-9-]+) -->\n)(.*?)(<!-- end -->)", re.DOTALL)
+UNITS = {"cpu": " cores", "mb": " MB", "per_s": "/s", "s": " s", "ms": " ms", "bytes": " B"}
+TOLD = (
+    "schedulers",
+    "nodes",
+    "clients",
+    "statements",
+)  # sizes that the operators gave; the last two of losses
+SUBJECTS = {"clients": "own clients", "statements": "own statements"}
+
+
+class CapacityError(ValueError):
+    """A page or a document that no table can be made for; says which and why."""
+
+
+@dataclass(frozen=True, slots=True)
+class Term:
+    """One slope by one size."""
+
+    vary: str
+    slope: float
+    size: float
+
+    @property
+    def part(self) -> float:
+        """What it adds."""
+        return self.slope * self.size
+
+
+@dataclass(frozen=True, slots=True)
+class Estimate:
+    """A figure at a size."""
+
+    constant: float
+    terms: tuple[Term, ...]
+    reach: dict[str, float]  # the largest size measured, of each dimension that counts
+    measured: tuple[float, int] | None  # mean and number of points, where there are some at this size
+    bends: bool  # grows faster than its line within what was measured
+
+    @property
+    def total(self) -> float:
+        """The figure."""
+        return self.constant + sum(term.part for term in self.terms)
+
+    def times(self, factor: float) -> "Estimate":
+        """Give so many of it."""
+        measured = (self.measured[0] * factor, self.measured[1]) if self.measured else None
+        terms = tuple(replace(term, slope=term.slope * factor) for term in self.terms)
+        return replace(self, constant=self.constant * factor, terms=terms, measured=measured)
+
+    def __add__(self, other: "Estimate") -> "Estimate":
+        """Add another figure at the same size."""
+        terms = {term.vary: term for term in self.terms}
+        for term in other.terms:
+            old = terms.get(term.vary)
+            terms[term.vary] = replace(term, slope=term.slope + old.slope) if old else term
+        measured = None
+        if self.measured and other.measured:
+            measured = self.measured[0] + other.measured[0], min(self.measured[1], other.measured[1])
+        reach = {
+            vary: min(one.reach[vary] for one in (self, other) if vary in one.reach)
+            for vary in self.reach.keys() | other.reach.keys()
+        }
+        constant, bends = self.constant + other.constant, self.bends or other.bends
+        return Estimate(constant, tuple(terms.values()), reach, measured, bends)
+
+
+class Figures:
+    """The figures of one document at any size."""
+
+    def __init__(self, result: Result | None) -> None:
+        self.result = result
+        self.slopes: dict[str, dict[str, Slope]] = {}
+        for slope in result.slopes if result else ():
+            self.slopes.setdefault(slope.figure, {})[slope.vary] = slope
+
+    def _points(self, figure: str, vary: str) -> list[Point]:
+        points = self.result.points if self.result else ()
+        return [one for one in points if one.vary == vary and figure in one.figures]
+
+    def _counts(self, slope: Slope, points: Sequence[Point]) -> bool:
+        """Say whether a slope shows above what repeats of one size differ by."""
+        sizes = [float(getattr(one.sizes, slope.vary)) for one in points]
+        return not sizes or abs(slope.slope) * (max(sizes) - min(sizes)) > slope.spread
+
+    def at(self, figure: str, sizes: Sizes) -> Estimate | None:
+        """Give a figure at a size; None where no slope of it was measured."""
+        known = [self.slopes.get(figure, {}).get(vary) for vary in dimensions()]
+        slopes = [slope for slope in known if slope is not None]
+        if not slopes:
+            return None
+        points = {slope.vary: self._points(figure, slope.vary) for slope in slopes}
+        counted = [slope for slope in slopes if self._counts(slope, points[slope.vary])]
+        first = (counted or slopes)[0]
+        there = points[first.vary]
+        # The line of the first dimension passes through the other sizes as they were while it was measured.
+        base = there[0].sizes if there else Sizes()
+        constant = first.intercept
+        if not counted:
+            constant += first.slope * (fmean(float(getattr(p.sizes, first.vary)) for p in there))
+        terms = []
+        for slope in counted:
+            terms.append(Term(slope.vary, slope.slope, float(getattr(sizes, slope.vary))))
+            if slope is not first:
+                constant -= slope.slope * float(getattr(base, slope.vary))
+        reach = {
+            slope.vary: max(float(getattr(one.sizes, slope.vary)) for one in points[slope.vary])
+            for slope in counted
+            if points[slope.vary]
+        }
+        bends = any(_bends(figure, slope, points[slope.vary]) for slope in counted)
+        return Estimate(constant, tuple(terms), reach, self._measured(figure, sizes, counted), bends)
+
+    def _measured(self, figure: str, sizes: Sizes, counted: Sequence[Slope]) -> tuple[float, int] | None:
+        wanted = [(slope.vary, float(getattr(sizes, slope.vary))) for slope in counted]
+        there = [
+            one.figures[figure]
+            for one in (self.result.points if self.result else ())
+            if figure in one.figures and all(float(getattr(one.sizes, d)) == size for d, size in wanted)
+        ]
+        return (fmean(there), len(there)) if there and wanted else None
+
+
+def _bends(figure: str, slope: Slope, points: Sequence[Point]) -> bool:
+    """Say whether it grows ever faster: the last step between two sizes is steeper than the first."""
+    by_size: dict[float, list[float]] = {}
+    for one in points:
+        by_size.setdefault(float(getattr(one.sizes, slope.vary)), []).append(one.figures[figure])
+    means = [(size, fmean(values)) for size, values in sorted(by_size.items())]
+    if len(means) < 3:
+        return False
+    steps = [(b[1] - a[1]) / (b[0] - a[0]) for a, b in pairwise(means)]
+    return steps[0] > 0 and steps[-1] > BENDS * steps[0] and abs(means[-1][1] - means[-2][1]) > slope.spread
+
+
+def number(value: float) -> str:
+    """Write three digits that count, thousands parted."""
+    if value != 0 and abs(value) < 0.001:
+        return f"{value:.2e}"
+    places = 0 if abs(value) >= 99.95 else 1 if abs(value) >= 9.995 else 2 if abs(value) >= 0.9995 else 4
+    text = f"{value:,.{places}f}"
+    return text.rstrip("0").rstrip(".") if "." in text else text
+
+
+def unit(figure: str) -> str:
+    """Give the unit that a figure's name ends in."""
+    last = figure.rpartition(".")[2]
+    if last.endswith("bytes_per_s"):
+        return " B/s"
+    return next((UNITS[end] for end in UNITS if last == end or last.endswith(f"_{end}")), "")
+
+
+def _names(vary: str, size: float) -> str:
+    return f"{number(size)} {SUBJECTS.get(vary, vary)}"
+
+
+class Page:
+    """All tables of one state of the documents."""
+
+    def __init__(self, documents: Mapping[str, Result]) -> None:
+        self.documents, self.budgets = documents, BUDGETS
+        self.figures = {name: Figures(documents.get(name)) for name in DOCUMENTS}
+
+    def tables(self) -> dict[str, str]:
+        """Give every table by its name."""
+        got = {"documents": self._documents(), "sizes": self._sizes(), "state": self._state()}
+        for table in dict.fromkeys(row.table for row in ROWS):
+            got[f"day-{table}"] = self._rows([row for row in ROWS if row.table == table], DAY)
+        path = [row for row in ROWS if row.table == "path"]
+        got["zone-away"] = self._rows(path, ZONE_AWAY)
+        got["region-away"] = self._rows(path, REGION_AWAY)
+        got["before"] = self._before()
+        got["events"] = self._events()
+        got |= {f"event-{name}": self._event(name) for name in EVENTS}
+        got["settings"] = self._settings()
+        got["machines"] = self._machines()
+        got["over-budget"] = self._over()
+        got["first"] = self._first()
+        return got
+
+    # Rows of roles
+
+    def estimate(self, row: Row, sizes: Sizes, document: str = "") -> Estimate | None:
+        """Work a row out; None where a part of it was not measured."""
+        got = [self.figures[document or row.document].at(figure, sizes) for figure in row.figures]
+        known = [one for one in got if one is not None]
+        if len(known) < len(got):
+            return None
+        total = known[0]
+        for one in known[1:]:
+            total = total + one
+        return total.times(row.every)
+
+    def _mark(self, row: Row, found: Estimate) -> str:
+        guessed = sum(abs(term.part) for term in found.terms if term.vary in GUESSED)
+        return "g" if row.guessed or guessed > GUESS_PART * abs(found.total) else "w"
+
+    def _unit(self, row: Row) -> str:
+        own = unit(row.figures[0])
+        return {" B": " B/s", " s": " cores"}.get(own, own) if row.every != 1.0 else own
+
+    def _total(self, row: Row, found: Estimate) -> str:
+        return f"{number(found.total)}{self._unit(row)} {self._mark(row, found)}"
+
+    def _slopes(self, row: Row, found: Estimate) -> str:
+        parts = [f"{number(t.slope)} x {_names(t.vary, t.size)}" for t in found.terms]
+        if abs(found.constant) > 1e-12 or not parts:
+            parts.append(number(found.constant))
+        return " + ".join(parts).replace("+ -", "- ")
+
+    def _grows(self, found: Estimate, own: bool) -> str:
+        some = [t for t in found.terms if abs(t.part) >= NOTICED * abs(found.total)]
+        words = [f"in {SUBJECTS.get(t.vary, t.vary)}" for t in some]
+        text = ", ".join(words) or "constant"
+        if own and any(term.vary == "schedulers" for term in some):
+            text += " (quadratic over all)"
+        return text + (", faster than its line" if found.bends else "")
+
+    def _budget(self, row: Row, sizes: Sizes) -> Budget | None:
+        if row.budget is None:
+            return None
+        budget = self.budgets[row.budget]
+        # What has to be there follows the size: after a loss the clients of others come.
+        return replace(budget, amount=budget.amount * sizes.clients / DAY.clients) if budget.least else budget
+
+    def _told(self, row: Row, budget: Budget | None) -> str:
+        return f"{number(budget.amount)}{self._unit(row)} {budget.mark}" if budget else "none"
+
+    def _used(self, row: Row, found: Estimate, sizes: Sizes) -> tuple[str, bool]:
+        """Give the share of the budget used, and whether that is too much, or too little."""
+        budget = self._budget(row, sizes)
+        if budget is None:
+            return "", False
+        totals = [found.total, *([found.measured[0]] if found.measured else ())]
+        share = (min(totals) if budget.least else max(totals)) / budget.amount
+        wrong = share < ENOUGH if budget.least else share > 1
+        word = (" SHORT" if budget.least else " OVER") if wrong else ""
+        return f"{100 * share:.0f}%{word} {self._mark(row, found)}", wrong
+
+    def _beyond(self, row: Row, found: Estimate, sizes: Sizes) -> str:
+        budget = self._budget(row, sizes)
+        grows = max(found.terms, key=lambda term: term.part, default=None)
+        if budget is None or budget.least or grows is None or grows.part <= 0:
+            return row.beyond
+        size = grows.size + (budget.amount - found.total) / grows.slope
+        if size < grows.size:
+            return f"beyond it already: {row.beyond}"
+        return f"at {_names(grows.vary, float(int(size + 1e-6)))} {self._mark(row, found)}: {row.beyond}"
+
+    def _rows(self, rows: Sequence[Row], sizes: Sizes) -> str:
+        head = ("what", "slope x size", "comes to", "measured there", "measured up to", "grows")
+        more = ("budget", "used", "carried by", "breaks first beyond")
+        return _table((*head, *more), [self._row(row, sizes) for row in rows])
+
+    def _row(self, row: Row, sizes: Sizes) -> tuple[str, ...]:
+        found, budget = self.estimate(row, sizes), self._told(row, self._budget(row, sizes))
+        if found is None:
+            nothing = (MISSING, MISSING, MISSING, "", "", budget, "")
+            return row.what, *nothing, row.mechanism, row.beyond
+        name, measured = self._unit(row), "no"
+        if found.measured is not None:
+            measured = f"{number(found.measured[0])}{name} m ({found.measured[1]})"
+        reach = ", ".join(_names(vary, size) for vary, size in found.reach.items())
+        own = row.figures[0].startswith("scheduler.") and row.table in ("path", "control")
+        return (
+            row.what,
+            f"{self._slopes(row, found)} {self._mark(row, found)}",
+            self._total(row, found),
+            measured,
+            f"{reach} m" if reach else "",
+            self._grows(found, own),
+            budget,
+            self._used(row, found, sizes)[0],
+            row.mechanism,
+            self._beyond(row, found, sizes),
+        )
+
+    # Tables over all
+
+    def _all(self) -> list[tuple[str, Row, Sizes]]:
+        rows = [("the ordinary day", row, DAY) for row in ROWS]
+        for name, sizes in (("a zone away", ZONE_AWAY), ("a region away", REGION_AWAY)):
+            rows += [(name, row, sizes) for row in ROWS if row.table == "path"]
+        return rows
+
+    def over(self) -> list[tuple[str, str, str, str]]:
+        """Name what is over its budget: when, what, how much, of how much."""
+        got = []
+        for when, row, sizes in self._all():
+            found = self.estimate(row, sizes)
+            if found is not None:
+                used, wrong = self._used(row, found, sizes)
+                if wrong:
+                    told = self._told(row, self._budget(row, sizes))
+                    got.append((when, f"{row.table}: {row.what}", used, told))
+        for name, event in EVENTS.items():
+            for figure in event.budgets:
+                for sizes, values in self._found(name, figure):
+                    used = self._worst(event, figure, values)
+                    if "OVER" in used:
+                        when = f"{event.title}, {_names('schedulers', sizes.schedulers)}"
+                        got.append((when, figure, used, self._goal(event, figure)))
+        return got
+
+    def _over(self) -> str:
+        missing = sum(self.estimate(row, sizes) is None for _, row, sizes in self._all())
+        missing += sum(not self._found(name, f) for name, event in EVENTS.items() for f in event.budgets)
+        text = _table(
+            ("when", "what", "used", "budget"), self.over() or [("nothing of what was measured", "", "", "")]
+        )
+        return text + (f"\nNot measured, and so not judged: {missing} figures.\n" if missing else "")
+
+    def _first(self) -> str:
+        """Say for each role which figure meets its budget first as the size grows."""
+        lines = []
+        for table in dict.fromkeys(row.table for row in ROWS):
+            shares = []
+            for row in (row for row in ROWS if row.table == table and row.budget):
+                found, budget = self.estimate(row, DAY), self.budgets[row.budget or ""]
+                if found is not None and not budget.least:
+                    shares.append((found.total / budget.amount, row, found))
+            if not shares:
+                lines.append((table, MISSING, ""))
+                continue
+            share, row, found = max(shares, key=lambda one: one[0])
+            cell = f"{row.what}: {100 * share:.0f}% {self._mark(row, found)}"
+            lines.append((table, cell, self._beyond(row, found, DAY)))
+        return _table(("role", "the largest share of a budget", "what breaks first beyond"), lines)
+
+    def _machines(self) -> str:
+        """Add up what the roles beside the schedulers take, for the machines set aside."""
+        lines = []
+        for role, (cpu, memory, traffic) in BESIDE.items():
+            cells = []
+            for figures in ((cpu,), (memory,), traffic):
+                row = Row("", "", figures, "full", None, "", "")
+                found = self.estimate(row, DAY)
+                text = (
+                    f"{number(found.total)}{self._unit(row)} {self._mark(row, found)}" if found else MISSING
+                )
+                cells.append(text)
+            lines.append((role, *cells))
+        lines.append(("machines set aside", f"{MACHINES} given", "", ""))
+        return _table(("role", "processor", "memory", "bytes in and out"), lines)
+
+    def _before(self) -> str:
+        """Set the old protocol beside the one that stands."""
+        lines = []
+        for row in (row for row in ROWS if row.document == "full"):
+            old, new = (self.estimate(row, DAY, name) for name in ("before", "full"))
+            cells = [
+                f"{self._slopes(row, one)} = {self._total(row, one)}" if one else MISSING
+                for one in (old, new)
+            ]
+            ratio = f"{number(new.total / old.total)} w" if old and new and old.total else ""
+            lines.append((f"{row.table}: {row.what}", *cells, ratio))
+        return _table(("what", "before", "now", "now / before"), lines)
+
+    def _documents(self) -> str:
+        lines = []
+        for name in DOCUMENTS:
+            one = self.documents.get(name)
+            if one is None:
+                lines.append((f"capacity/{name}.json", MISSING, "", "", "", ""))
+                continue
+            versions = ", ".join(f"{key} {value}" for key, value in sorted(one.versions.items()))
+            counts = f"{len(one.points)} points, {len(one.slopes)} slopes, {len(one.events)} events"
+            missing = "; ".join(one.missing) or "nothing"
+            lines.append(
+                (f"capacity/{name}.json", f"`{one.command}`", str(one.seed), versions, counts, missing)
+            )
+        return _table(("document", "made by", "seed", "versions", "holds", "lacks"), lines)
+
+    def _sizes(self) -> str:
+        lines = []
+        for vary in dimensions():
+            cells = []
+            for sizes, given in ((DAY, TOLD), (ZONE_AWAY, ("clients",)), (REGION_AWAY, TOLD[2:])):
+                mark = "g" if vary in GUESSED else "given" if vary in given else "w"
+                cells.append(f"{number(float(getattr(sizes, vary)))} {mark}")
+            lines.append((vary, *cells))
+        return _table(("size", "ordinary day", "a zone away", "a region away"), lines)
+
+    def _state(self) -> str:
+        lines = []
+        for one in STATE:
+            size = float(getattr(DAY, one.vary)) if one.vary else 1.0
+            mark = "w" if one.vary else "limit"
+            slope = f"{number(one.each)} x {_names(one.vary, size)}" if one.vary else number(one.each)
+            total = f"{number(one.each * size)} {mark}"
+            lines.append((one.role, one.what, f"{slope} {mark}", total, one.grows, one.mechanism))
+        return _table(("role", "state held", "slope x size", "comes to", "grows", "carried by"), lines)
+
+    def _settings(self) -> str:
+        needs = [settings_needed(sizes) for sizes in (DAY, ZONE_AWAY, REGION_AWAY)]
+        lines = []
+        for some in zip(*needs, strict=True):
+            lines.append((some[0].what, *(f"{number(one.value)} {one.mark}" for one in some), some[0].why))
+        return _table(("what", "ordinary day", "a zone away", "a region away", "why"), lines)
+
+    # Events
+
+    def _found(self, name: str, figure: str) -> list[tuple[Sizes, list[float]]]:
+        """Give an event's figure by the sizes it was measured at, the nearest to the day's first."""
+        full = self.documents.get("full")
+        groups: dict[Sizes, list[float]] = {}
+        for one in full.events if full else ():
+            if one.name == name and figure in one.figures:
+                groups.setdefault(one.sizes, []).append(one.figures[figure])
+        return sorted(
+            groups.items(), key=lambda item: (abs(item[0].schedulers - DAY.schedulers), repr(item[0]))
+        )
+
+    def _events(self) -> str:
+        lines = []
+        for name, event in EVENTS.items():
+            found = self._found(name, "all_in_force_s")[:1]
+            took = used = ""
+            goal = self._goal(event, "all_in_force_s")
+            for sizes, values in found:
+                took = f"{_spread(values)} s m at {_names('schedulers', sizes.schedulers)}"
+                used = self._worst(event, "all_in_force_s", values)
+            cells = (took or MISSING, goal, used, event.mechanism, event.beyond)
+            lines.append((event.title, event.often, *cells))
+        head = ("event", "how often", "all in force after", "goal", "used, worst", "carried by")
+        return _table((*head, "breaks first beyond"), lines)
+
+    def _event(self, name: str) -> str:
+        full, event = self.documents.get("full"), EVENTS[name]
+        names = {
+            figure for one in (full.events if full else ()) if one.name == name for figure in one.figures
+        }
+        lines = []
+        for figure in sorted(names | event.budgets.keys() | {"all_in_force_s"}):
+            goal, found = self._goal(event, figure), self._found(name, figure)
+            if not found:
+                lines.append((figure, MISSING, "", "", goal, ""))
+            for sizes, values in found:
+                at = f"{_names('schedulers', sizes.schedulers)}, {_names('nodes', sizes.nodes)}"
+                took = f"{_spread(values)}{unit(figure)} m"
+                lines.append((figure, took, str(len(values)), at, goal, self._worst(event, figure, values)))
+        return _table(("figure", "median (least to most)", "plays", "at", "budget", "used, worst"), lines)
+
+    def _goal(self, event: EventKind, figure: str) -> str:
+        if figure not in event.budgets:
+            return "none"
+        budget = self.budgets[event.budgets[figure]]
+        return f"{number(budget.amount)}{unit(figure)} {budget.mark}"
+
+    def _worst(self, event: EventKind, figure: str, values: Sequence[float]) -> str:
+        if figure not in event.budgets:
+            return ""
+        share = max(values) / self.budgets[event.budgets[figure]].amount
+        return f"{100 * share:.0f}%{' OVER' if share > 1 else ''} m"
+
+
+def _spread(values: Sequence[float]) -> str:
+    low, high = number(min(values)), number(max(values))
+    return f"{number(median(values))} ({low} to {high})" if low != high else number(median(values))
+
+
+def _table(head: Sequence[str], lines: Sequence[Sequence[str]]) -> str:
+    rows = [head, ["---"] * len(head), *lines]
+    return "".join(f"| {' | '.join(row)} |\n".replace("|  |", "| |").replace("|  |", "| |") for row in rows)
+
+
+def filled(text: str, tables: Mapping[str, str]) -> str:
+    """Put each table between its marks; CapacityError where a page and the tables don't match."""
+    named = [found[2] for found in TABLE.finditer(text)]
+    if len(named) != text.count("<!-- table:"):
+        raise CapacityError("a table's mark has no end")
+    for name in named:
+        if name not in tables or named.count(name) > 1:
+            raise CapacityError(f'"{name}" stands twice' if name in tables else f'there is no table "{name}"')
+    if absent := [name for name in tables if name not in named]:
+        raise CapacityError(f"tables that the page lacks: {', '.join(absent)}")
+    return TABLE.sub(lambda found: f"{found[1]}\n{tables[found[2]]}\n{found[4]}", text)
+
+
+def documents_of(directory: Path) -> dict[str, Result]:
+    """Read the documents that are there; CapacityError where one is no result."""
+    got = {}
+    for name in DOCUMENTS:
+        path = directory / f"{name}.json"
+        if path.exists():
+            try:
+                got[name] = result_from(path.read_text())
+            except ResultError as error:
+                raise CapacityError(f"{path}: {error}") from None
+    return got
+
+
+def add_parser(actions: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Describe the sub-command."""
+    capacity = actions.add_parser("capacity", help="work out the tables of docs/CAPACITY.md")
+    capacity.add_argument("page", metavar="PAGE", help="its documents lie beside it, in capacity/")
+    capacity.add_argument("--check", action="store_true", help="change nothing; 1 where a table differs")
+
+
+def run(options: argparse.Namespace) -> int:
+    """Write or check the tables; 1 where they differ or can't be made, told on standard error."""
+    path = Path(options.page)
+    try:
+        text = path.read_text()
+        wanted = filled(text, Page(documents_of(path.parent / "capacity")).tables())
+    except (OSError, CapacityError) as error:
+        print(f"runloft: {path}: {error}", file=sys.stderr)
+        return 1
+    if not options.check:
+        path.write_text(wanted)
+        return 0
+    pairs = zip(TABLE.finditer(text), TABLE.finditer(wanted), strict=True)
+    differing = [old[2] for old, new in pairs if old[3] != new[3]]
+    for name in differing:
+        print(f"runloft: {path}: {name}: differs from the documents: write it anew", file=sys.stderr)
+    return 1 if differing else 0
--- /dev/null
+++ b/tests/test_capacity.py
@@ -0,0 +1,226 @@
+"""The page about capacity: its tables follow from the committed documents, and from nothing else."""
+
+import argparse
+import json
+import re
+from dataclasses import replace
+from pathlib import Path
+
+import pytest
+
+from runloft.lab.scale.capacity import (
+    MISSING,
+    TABLE,
+    CapacityError,
+    Page,
+    add_parser,
+    documents_of,
+    filled,
+    run,
+)
+from runloft.lab.scale.records import Event, Point, Result, Sizes, Slope
+from runloft.lab.scale.roles import BUDGETS, DAY, EVENTS, Budget
+
+PAGE = Path(__file__).parent.parent / "docs" / "CAPACITY.md"
+CPU, BYTES = "scheduler.control.cpu", "scheduler.watch.in_bytes_per_s"
+
+
+def line(vary, figure, slope, constant, sizes, spread=0.0):
+    """Make the points of one dimension that lie on a line, and its slope: made up, never on the page."""
+    points = [
+        Point(vary, replace(Sizes(), **{vary: size}), repeat, 10.0, {figure: constant + slope * size})
+        for size in sizes
+        for repeat in (0, 1)
+    ]
+    return points, [Slope(vary, figure, slope, constant, 0.0, spread, len(points))]
+
+
+def document(*lines, events=()):
+    points = [point for some, _ in lines for point in some]
+    return Result("made up", 1, {}, tuple(points), tuple(s for _, some in lines for s in some), tuple(events))
+
+
+def event(name, took, schedulers=450, **figures):
+    return Event(name, Sizes(schedulers, 820), 0, {"all_in_force_s": took} | figures)
+
+
+# 0.002 + 0.00001 a scheduler, and of 100 nodes 0.001 of them: at 450 and 820, 0.002 + 0.0045 + 0.0072.
+FULL = document(
+    line("schedulers", CPU, 1e-5, 0.003, (50, 150, 450)),
+    line("nodes", CPU, 1e-5, 0.0025, (100, 400)),
+    events=(event("change", 3.0), event("change", 5.0), event("change-of-primary", 1.0, 150)),
+)
+
+
+def row(tables, table, what):
+    """Give one row's cells."""
+    found = [text for text in tables[table].splitlines() if text.startswith(f"| {what} |")]
+    assert len(found) == 1
+    return [cell.strip() for cell in found[0].strip("|").split("|")]
+
+
+def test_the_committed_page_is_what_its_documents_say():
+    text = PAGE.read_text()
+    assert filled(text, Page(documents_of(PAGE.parent / "capacity")).tables()) == text
+
+
+def test_a_figure_is_its_slopes_by_the_size():
+    cells = row(Page({"full": FULL}).tables(), "day-control", "watch and agreement, processor")
+    assert cells[1] == "1.00e-05 x 450 schedulers + 1.00e-05 x 820 nodes + 0.002 w"
+    assert cells[2:4] == ["0.0147 cores w", "no"]
+    assert cells[4:8] == ["450 schedulers, 400 nodes m", "in schedulers, in nodes (quadratic over all)",
+                          "0.015 cores given", "98% w"]  # fmt: skip
+    assert cells[9] == "at 850 nodes w: turns of the data path come late"
+
+
+def test_what_was_measured_at_the_size_stands_beside_what_was_worked_out():
+    full = document(line("schedulers", BYTES, 1.0, 50.0, (50, 450)))
+    cells = row(Page({"full": full}).tables(), "day-control", "watch, bytes in")
+    assert cells[2:4] == ["500 B/s w", "500 B/s m (2)"]
+
+
+def test_a_slope_that_repeats_differ_by_as_much_is_none():
+    full = document(line("schedulers", BYTES, 1.0, 50.0, (50, 150), spread=100.0))
+    cells = row(Page({"full": full}).tables(), "day-control", "watch, bytes in")
+    assert cells[1:3] == ["150 w", "150 B/s w"] and cells[5] == "constant"
+
+
+def test_what_grows_faster_than_its_line_is_told():
+    full = document(line("schedulers", BYTES, 1.0, 0.0, (50, 150, 450)))
+    bent = [
+        replace(p, figures={BYTES: p.sizes.schedulers**2 / 100}) if p.vary == "schedulers" else p
+        for p in full.points
+    ]
+    tables = Page({"full": replace(full, points=tuple(bent))}).tables()
+    assert "faster than its line" in row(tables, "day-control", "watch, bytes in")[5]
+
+
+def test_without_a_slope_nothing_is_made_up():
+    tables = Page({}).tables()
+    some = row(tables, "day-control", "watch and agreement, processor")
+    assert some[1:4] == [MISSING] * 3 and some[7] == ""
+    # One part of a sum that is missing leaves no sum.
+    full = document(line("schedulers", BYTES, 1.0, 50.0, (50, 450)))
+    assert row(Page({"full": full}).tables(), "day-control", "watch and agreement, bytes")[2] == MISSING
+    words = [text for name, text in tables.items() if re.match("day-|event|zone|region|before|first", name)]
+    assert not re.search(r"[0-9] m\b", "".join(words))
+
+
+def test_a_guess_makes_all_that_follows_from_it_a_guess():
+    path = document(line("clients", "scheduler.metrics.scrape_cpu_s", 1e-7, 0.002, (0, 8000)))
+    assert row(Page({"datapath": path}).tables(), "day-control", "metrics, processor")[2].endswith("cores g")
+    volumes = document(line("volumes", BYTES, 1.0, 50.0, (10, 100)))
+    assert row(Page({"full": volumes}).tables(), "day-control", "watch, bytes in")[2] == "870 B/s g"
+
+
+def test_after_a_loss_each_that_is_left_has_more_clients():
+    path = document(line("clients", "scheduler.clients_open_count", 1.0, 0.0, (0, 8000)))
+    for table, wants in (("day-path", "8,222"), ("zone-away", "9,600"), ("region-away", "16,500")):
+        cells = row(Page({"datapath": path}).tables(), table, "clients open")
+        assert cells[2] == f"{wants} w" and cells[6:8] == [f"{wants} given", "100% w"]
+
+
+@pytest.mark.parametrize("figure", [CPU, "all_in_force_s"])
+def test_what_is_over_its_budget_is_listed(figure):
+    assert Page({"full": FULL}).over() == []
+    if figure == CPU:
+        slopes = tuple(replace(s, slope=2e-5) if s.vary == "schedulers" else s for s in FULL.slopes)
+        full, wants = replace(FULL, slopes=slopes), ("the ordinary day", "128% OVER w", "0.015 cores given")
+    else:
+        full = replace(FULL, events=(*FULL.events, event("change", 10.4)))
+        wants = "a change of configuration, 450 schedulers", "104% OVER m", "10 s given"
+    page = Page({"full": full})
+    assert [(when, used, budget) for when, _, used, budget in page.over()] == [wants]
+    assert " | ".join(wants[1:]) in page.tables()["over-budget"]
+
+
+def test_clients_that_are_not_there_are_short_of_what_there_has_to_be():
+    path = document(line("clients", "scheduler.clients_open_count", 0.9, 0.0, (0, 8000)))
+    assert {used for _, _, used, _ in Page({"datapath": path}).over()} == {"90% SHORT w"}
+
+
+def test_an_event_is_told_with_its_worst_play_and_its_size():
+    tables = Page({"full": FULL}).tables()
+    assert row(tables, "event-change", "all_in_force_s")[1:] == [
+        "4 (3 to 5) s m", "2", "450 schedulers, 820 nodes", "10 s given", "50% m"]  # fmt: skip
+    assert row(tables, "events", "a change of primary")[2] == "1 s m at 150 schedulers"
+    assert row(tables, "events", "a rack of 40 dies")[2] == MISSING
+
+
+@pytest.fixture
+def page(tmp_path):
+    """A page with all tables, and its documents beside it; gives what runs the command on it."""
+    (tmp_path / "capacity").mkdir()
+    (tmp_path / "capacity" / "full.json").write_text(FULL.dump())
+    marks = "".join(f"# {name}\n<!-- table: {name} -->\n<!-- end -->\n" for name in Page({}).tables())
+    (tmp_path / "CAPACITY.md").write_text(f"Words.\n{marks}Last words.\n")
+    parser = argparse.ArgumentParser()
+    add_parser(parser.add_subparsers())
+    return lambda *options: run(parser.parse_args(["capacity", str(tmp_path / "CAPACITY.md"), *options]))
+
+
+def test_the_command_writes_what_its_check_then_finds_right(page, tmp_path, capsys):
+    assert page("--check") == 1
+    assert page() == 0 and page("--check") == 0
+    first = (tmp_path / "CAPACITY.md").read_text()
+    assert page() == 0 and (tmp_path / "CAPACITY.md").read_text() == first
+    assert first.startswith("Words.\n# documents\n") and first.endswith("Last words.\n")
+
+
+@pytest.mark.parametrize("where", ["slope", "event", "cell", "budget"])
+def test_whatever_differs_is_noticed_by_its_table(where, page, tmp_path, capsys, monkeypatch):
+    page()
+    path, text = tmp_path / "capacity" / "full.json", (tmp_path / "CAPACITY.md").read_text()
+    raw = json.loads(path.read_text())
+    if where == "slope":
+        raw["slopes"][0]["slope"] *= 1.01
+    elif where == "event":
+        raw["events"][0]["figures"]["all_in_force_s"] = 3.1
+    elif where == "cell":
+        (tmp_path / "CAPACITY.md").write_text(text.replace("0.0147 cores w", "0.0137 cores w"))
+    else:
+        changed = BUDGETS | {"control cpu": Budget(0.02, "given")}
+        monkeypatch.setattr("runloft.lab.scale.capacity.BUDGETS", changed)
+    path.write_text(json.dumps(raw))
+    assert page("--check") == 1
+    wants = "event-change:" if where == "event" else "day-control:"
+    assert f"{wants} differs from the documents" in capsys.readouterr().err
+
+
+@pytest.mark.parametrize(
+    ("change", "says"),
+    [
+        (lambda text: text.replace("table: sizes", "table: seizes"), 'no table "seizes"'),
+        (lambda text: text.replace("table: sizes", "table: state"), '"state" stands twice'),
+        (lambda text: text.replace("<!-- table: sizes -->\n<!-- end -->\n", ""), "page lacks: sizes"),
+        (lambda text: text.removesuffix("<!-- end -->\nLast words.\n"), "mark has no end"),
+    ],
+)
+def test_a_page_whose_marks_match_no_tables_is_a_fault(change, says, page, tmp_path, capsys):
+    path = tmp_path / "CAPACITY.md"
+    path.write_text(change(path.read_text()))
+    before = path.read_text()
+    assert page() == 1 and path.read_text() == before
+    assert says in capsys.readouterr().err
+
+
+def test_a_document_that_is_none_is_named(tmp_path):
+    (tmp_path / "full.json").write_text("{}")
+    with pytest.raises(CapacityError, match=r"full\.json: no scale run's result"):
+        documents_of(tmp_path)
+
+
+def test_each_table_of_the_page_has_its_cells_marked():
+    """A cell with a figure says where it is from: m, w, g, given or limit."""
+    for name, text in Page({"full": FULL}).tables().items():
+        if name == "documents":
+            continue
+        for row_ in text.splitlines()[2:]:
+            for cell in row_.strip("|").split("|")[1:]:
+                if re.match(r" [0-9][0-9.,]*(%| (?!given|limit|[mwg] )[A-Za-z/]+)? $", cell):
+                    assert name.startswith("event-"), (name, cell)  # plays are counted, not measured
+
+
+def test_the_size_is_the_operators_own():
+    assert (DAY.schedulers, DAY.nodes, DAY.clients, DAY.statements) == (450, 820, 8222, 644.0)
+    assert len(EVENTS) == 12 and TABLE.search("<!-- table: x -->\n<!-- end -->")
