--- a/runloft/lab/scale/datapath.py
+++ b/runloft/lab/scale/datapath.py
@@ -37,13 +37,16 @@
 from runloft.lab.load import GRACE_S
 from runloft.lab.node import LabNode, NodeKind
 from runloft.lab.redis import RedisStandIn
-from runloft.lab.running import SERVING, START_S, STOP_S
 from runloft.lab.scale.records import Sizes
 from runloft.net import resp2
 from runloft.net.links import OTHERS
 
 Progress = Callable[[str], None]
-ADMIN = re.compile(r"serving .*at=(127\.0\.0\.1:\d+) front=admin")
+# Not taken from the scenarios' module: what a stand-in loads, it loads before each measurement.
+SERVING, ADMIN = (
+    re.compile(rf"serving .*at=(127\.0\.0\.1:\d+) front={front}") for front in ("RespFront", "admin")
+)
+START_S, STOP_S = 20.0, 10.0
 TICK_S = 0.25  # between looks at the children and at the scheduler's memory
 TICKS = os.sysconf("SC_CLK_TCK")
 MOST_S = 300.0  # for one order, such as that thousands of clients come
@@ -53,6 +56,7 @@
 CARRIERS = 64  # connections at most that carry statements where no clients rest
 COMING = 64  # clients that connect at once
 SETTLE_S = 2.0  # of load before it is measured, where no connection is closed for its rest
+LISTED_S = 1.0  # lists come by watch
 SCRAPES = 100  # processor time is told in ticks of 10 ms
 SCHEDULER_MB, CLIENT_KB, SOCKET_KB, NODE_KB = 48, 12, 16, 80  # estimates on the high side, for refusals
 
@@ -173,7 +177,10 @@
 
     def cpu_s(self) -> float:
         """Give the processor time that it has used, seconds."""
-        return cpu_s(self.process.pid)
+        try:
+            return cpu_s(self.process.pid)
+        except OSError:
+            raise self.error("ended") from None
 
     async def line(self) -> bytes:
         """Read a line of its output; ChildError at the end."""
@@ -338,8 +345,9 @@
     """
     check(sizes, limits)
     async with crew() as made:
-        nodes, _, figures, where = await _started(made, sizes, limits, progress)
-        clients, scheduler = await made.stand_in("clients"), made.scheduler
+        clients = await made.stand_in("clients")
+        nodes, figures, where = await _started(made, sizes, limits, progress)
+        scheduler = made.scheduler
         assert scheduler is not None
         order: dict[str, Any] = {"address": where["serve"], "connections": carriers(sizes)}
         order |= {"seed": seed, "in_turn": in_turn}
@@ -389,9 +397,9 @@
 
 async def _started(
     made: Crew, sizes: Sizes, limits: Limits, progress: Progress
-) -> tuple[Child, Child, dict[str, float], dict[str, str]]:
-    """Start nodes, discovery and an operator's scheduler with [admin]: figures and addresses."""
-    nodes, discovery, told = await _listed(made, sizes)
+) -> tuple[Child, dict[str, float], dict[str, str]]:
+    """Start nodes, discovery and an operator's scheduler with [admin]: nodes, figures, addresses."""
+    nodes, told = await _listed(made, sizes)
     raw = operators_file(sizes, limits, told["address"], admin={"listen": "127.0.0.1:0"})
     path = made.folder / "scheduler.toml"
     path.write_text(tomli_w.dumps(raw))
@@ -404,22 +412,24 @@
     }
     where["admin"] = await made.logged(made.scheduler, ADMIN)
     progress(f"scheduler (process {made.scheduler.process.pid}) serves before {sizes.nodes} nodes")
-    return nodes, discovery, figures, where
+    return nodes, figures, where
 
 
-async def _listed(made: Crew, sizes: Sizes) -> tuple[Child, Child, dict[str, Any]]:
-    """Start the nodes and the discovery that lists them; and what it tells of itself."""
+async def _listed(made: Crew, sizes: Sizes) -> tuple[Child, dict[str, Any]]:
+    """Start the nodes and the discovery that lists them: the nodes, and what it tells of itself."""
     nodes, discovery = await made.stand_in("nodes"), await made.stand_in("discovery")
     listen = await made.ask(nodes, do="listen", nodes=sizes.nodes)
-    return nodes, discovery, await made.ask(discovery, do="list", addresses=listen["addresses"])
+    return nodes, await made.ask(discovery, do="list", addresses=listen["addresses"])
 
 
 async def _scraped(made: Crew, scheduler: Child, where: str) -> dict[str, float]:
     """Read the metrics often enough for processor time to be told."""
     before, size = scheduler.cpu_s(), 0
-    for _ in range(SCRAPES):
-        size = len(await scraped(where))
-    made.tick()
+    try:
+        for _ in range(SCRAPES):
+            size = len(await scraped(where))
+    except (OSError, anyio.BrokenResourceError) as error:
+        raise scheduler.error(f"gave no metrics: {error}") from None
     return {
         "scheduler.metrics.scrape_bytes": float(size),
         "scheduler.metrics.scrape_cpu_s": (scheduler.cpu_s() - before) / SCRAPES,
@@ -443,10 +453,10 @@
     check(sizes, limits)
     figures: dict[str, float] = {}
     async with crew() as made:
-        _, _, _, where = await _started(made, sizes, limits, progress)
-        assert made.scheduler is not None
         clients = await made.stand_in("clients")
-        await made.wait(1.0)  # lists come by watch
+        _, _, where = await _started(made, sizes, limits, progress)
+        assert made.scheduler is not None
+        await made.wait(LISTED_S)
         figures["scheduler.before.resident_mb"] = resident_mb(made.scheduler.process.pid)
         order: dict[str, Any] = {"address": where["serve"], "connections": sizes.clients, "seed": seed}
         order |= {"shards": 1, "hosts": 1, "volumes": 1, "in_turn": True}
@@ -467,7 +477,7 @@
     limits, out = Limits(), []
     check(sizes, limits)
     async with crew() as made:
-        _, _, told = await _listed(made, sizes)
+        _, told = await _listed(made, sizes)
         store = await made.ask(await made.stand_in("store"), do="listen")
         agreement = {"store": f"redis://{store['address']}/0", "directory": str(made.folder / "copies")}
         admin = {"listen": "127.0.0.1:0"}
--- /dev/null
+++ b/tests/test_scale_datapath.py
@@ -0,0 +1,150 @@
+"""One scheduler's data path by size: its figures, what is refused beforehand, and every way out."""
+
+import json
+import os
+import signal
+import subprocess
+import sys
+from contextlib import contextmanager
+from pathlib import Path
+
+import anyio
+import pytest
+
+from runloft.lab.scale import datapath
+from runloft.lab.scale.datapath import ChildError, Limits, SizeError, check, crew, points, resting
+from runloft.lab.scale.records import Sizes
+from tests.standins import Listener, words_of
+
+SMALL = Sizes(schedulers=2, nodes=3, clients=6, statements=40.0)
+ALWAYS = {
+    "scheduler.resident_mb", "scheduler.cpu", "scheduler.start_cpu_s", "scheduler.start_s",
+    "scheduler.descriptors_count", "scheduler.clients_open_count", "scheduler.client_closes_per_s",
+    "scheduler.client_connects_per_s", "scheduler.node_connections_count",
+    "scheduler.metrics.scrape_bytes", "scheduler.metrics.scrape_cpu_s", "node.cpu", "node.in_bytes_per_s",
+}  # fmt: skip
+WITH_STATEMENTS = {"client.answered_share", "client.refused_share", "client.p99_ms"}
+
+
+def children():
+    return {pid for path in Path("/proc/self/task").glob("*/children") for pid in path.read_text().split()}
+
+
+@pytest.fixture(autouse=True)
+def none_left(monkeypatch):
+    monkeypatch.setattr(datapath, "SETTLE_S", 0.1)
+    monkeypatch.setattr(datapath, "LISTED_S", 0.1)
+    monkeypatch.setattr(datapath, "SCRAPES", 3)
+    before = children()
+    yield
+    assert children() <= before
+
+
+def test_a_size_gives_every_figure():
+    found = anyio.run(points, SMALL, 0.5, 1, lambda _: None)
+    assert found.keys() == ALWAYS | WITH_STATEMENTS
+    assert found["scheduler.clients_open_count"] == 6
+    assert found["scheduler.client_closes_per_s"] == found["scheduler.client_connects_per_s"] == 0
+    assert found["client.answered_share"] == 1.0
+    assert 1 <= found["scheduler.node_connections_count"] <= 40 and found["node.in_bytes_per_s"] > 0
+    assert found["scheduler.descriptors_count"] > 6 and found["scheduler.metrics.scrape_bytes"] > 0
+
+
+def test_clients_that_rest_are_counted_as_they_are_left_open():
+    found = anyio.run(resting, Sizes(nodes=1, clients=5), (0.0,), 1, lambda _: None)
+    names = ("scheduler.come.clients_open_count", "scheduler.after_0_s.clients_open_count")
+    assert [found[name] for name in names] == [5, 5]
+
+
+@contextmanager
+def stand_in(role):
+    command = [sys.executable, "-m", "runloft.lab.scale.datapath", role]
+    process = subprocess.Popen(command, stdin=subprocess.PIPE, stdout=subprocess.PIPE, text=True)
+
+    def ask(**order):
+        process.stdin.write(json.dumps(order) + "\n")
+        process.stdin.flush()
+        return json.loads(process.stdout.readline())
+
+    yield ask
+    process.stdin.close()
+    process.stdout.close()
+    assert process.wait(10) == 0  # its input's end is its own
+
+
+class Closing(Listener):
+    """Closes connections after a PING, answers the first statement on any, and closes that one once."""
+
+    cut = False
+
+    def serve(self, conn, lines):
+        while words := words_of(lines):
+            if words[0] == b"PING":
+                conn.sendall(b"+PONG\r\n")
+                return
+            if not self.cut:
+                self.cut = True
+                return
+            conn.sendall(b"$3\r\nabc\r\n" if int(words[2], 16) % 2 else b"-BUSY 5\r\n")
+
+
+def test_closed_connections_are_counted_and_opened_again_for_their_statement():
+    order = {"seed": 1, "in_turn": True, "shards": 1, "hosts": 1, "volumes": 1}
+    server = Closing()
+    with stand_in("clients") as ask:
+        ask(do="come", address=server.address, connections=5, **order)
+        while ask(do="count")["open"]:
+            pass
+        assert ask(do="count")["closes"] == 5
+        ask(do="mark")
+        ask(do="load", rate=500.0)
+        while ask(do="count")["sent"] < 25:
+            pass
+        found = ask(do="finish")
+    server.close()
+    assert found["sent"] >= 25 and found["served"] and found["refused"]
+    assert found["served"] + found["refused"] == found["sent"]  # the one that was cut off was sent again
+    assert (found["closes"], found["connects"], found["open"]) == (1, 6, 5)
+
+
+@pytest.mark.parametrize(
+    ("sizes", "limits", "says"),
+    [
+        (Sizes(nodes=0), Limits(), "at least one node"),
+        (Sizes(clients=9001), Limits(), "9001 clients: limits.sockets of 18000 has room for 9000"),
+        (Sizes(clients=5000), Limits(memory_mb=64), "limits.memory_mb is 64"),
+        (Sizes(nodes=10**7), Limits(), "10000000 nodes: .* descriptors, RLIMIT_NOFILE is"),
+        (Sizes(nodes=10), Limits(memory_mb=1 << 60), "MB available"),
+    ],
+)
+def test_what_cant_be_borne_is_refused_by_limit_and_size(sizes, limits, says, monkeypatch):
+    if "available" in says:
+        monkeypatch.setattr(datapath, "SCHEDULER_MB", 1 << 40)
+    with pytest.raises(SizeError, match=says):
+        check(sizes, limits)
+
+
+def test_a_process_that_dies_is_named_with_its_log(tmp_path):
+    async def killed():
+        async with crew() as made:
+            child = await made.stand_in("store")
+            os.kill(child.process.pid, signal.SIGKILL)
+            await made.wait(30.0)
+
+    async def faulty():
+        async with crew() as made:
+            await made.logged(await made.serve("scheduler", tmp_path / "none.toml"), datapath.SERVING)
+
+    with pytest.raises(ChildError, match=r"store \(process \d+\) ended with -9"):
+        anyio.run(killed)
+    with pytest.raises(ChildError, match=r"(?s)scheduler \(process \d+\) ended with 1.*none\.toml"):
+        anyio.run(faulty)
+
+
+def test_nothing_is_left_of_a_measurement_that_is_called_off():
+    async def called_off():
+        with anyio.CancelScope() as scope:
+            await points(SMALL, 30.0, 1, lambda text: scope.cancel() if "serves" in text else None)
+        return scope.cancelled_caught
+
+    assert anyio.run(called_off)
