Give the capacity page its command, failed plays and the runs' notes

Cause: an event that some schedulers never followed has no time, and read as not measured; the command was not to be had from the command line. Change: runloft lab capacity PAGE [--check]; a play without all_in_force_s is told as not reached, in the events and among what is over budget; committed slopes are fitted again from their points; the program's own memory without clients is a row.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -48,6 +48,7 @@
     from runloft.lab.scale import options as options_of_scale
 
     options_of_scale.add_parser(actions)
+    options_of_scale.add_capacity_parser(actions)
     return top
 
 
@@ -105,12 +106,16 @@
 
         if options.action == "scale":
             from runloft.lab.scale import commands as scale
+        if options.action == "capacity":
+            from runloft.lab.scale import capacity
     except ModuleNotFoundError as error:
         print(f"runloft: {error.name} is missing: pip install -r requirements-tools.txt", file=sys.stderr)
         return 2
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.ERROR))
     if options.action == "scale":
         return scale.run(options)
+    if options.action == "capacity":
+        return capacity.run(options)
     return rollouts.run(options) if options.action == "rollouts" else commands.run(options)
 
 
--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -32,6 +32,8 @@
 
 DOCUMENTS = ("before", "full", "datapath")
 MISSING = "not measured"
+FORCE = "all_in_force_s"
+NEVER = "NOT reached"
 ENOUGH = 0.99  # part of what has to be there that counts as all of it
 NOTICED = 0.1  # part of a figure from which on it is said to grow with a size
 GUESS_PART = 0.01  # part of a figure from which on a guessed size makes it a guess
@@ -213,6 +215,7 @@
         got["settings"] = self._settings()
         got["machines"] = self._machines()
         got["over-budget"] = self._over()
+        got["notes"] = self._notes()
         got["first"] = self._first()
         return got
 
@@ -220,6 +223,8 @@
 
     def estimate(self, row: Row, sizes: Sizes, document: str = "") -> Estimate | None:
         """Work a row out; None where a part of it was not measured."""
+        if row.alone:
+            sizes = replace(sizes, clients=0, statements=0.0)
         got = [self.figures[document or row.document].at(figure, sizes) for figure in row.figures]
         known = [one for one in got if one is not None]
         if len(known) < len(got):
@@ -332,21 +337,23 @@
                     told = self._told(row, self._budget(row, sizes))
                     got.append((when, f"{row.table}: {row.what}", used, told))
         for name, event in EVENTS.items():
-            for figure in event.budgets:
-                for sizes, values in self._found(name, figure):
-                    used = self._worst(event, figure, values)
+            for sizes, plays in self._plays(name):
+                when = f"{event.title}, {_names('schedulers', sizes.schedulers)}"
+                if failed := sum(FORCE not in one for one in plays):
+                    goal = self._goal(event, FORCE)
+                    got.append((when, FORCE, f"{NEVER} in {failed} of {len(plays)} plays m", goal))
+                for figure in event.budgets:
+                    used = self._worst(event, figure, [one[figure] for one in plays if figure in one])
                     if "OVER" in used:
-                        when = f"{event.title}, {_names('schedulers', sizes.schedulers)}"
                         got.append((when, figure, used, self._goal(event, figure)))
         return got
 
     def _over(self) -> str:
         missing = sum(self.estimate(row, sizes) is None for _, row, sizes in self._all())
-        missing += sum(not self._found(name, f) for name, event in EVENTS.items() for f in event.budgets)
-        text = _table(
-            ("when", "what", "used", "budget"), self.over() or [("nothing of what was measured", "", "", "")]
-        )
-        return text + (f"\nNot measured, and so not judged: {missing} figures.\n" if missing else "")
+        missing += sum(not self._plays(name) for name in EVENTS)
+        lines = self.over() or [("nothing of what was measured", "", "", "")]
+        text = _table(("when", "what", "used", "budget"), lines)
+        return text + (f"\nNot measured, so not judged: {missing} figures and events.\n" if missing else "")
 
     def _first(self) -> str:
         """Say for each role which figure meets its budget first as the size grows."""
@@ -409,6 +416,12 @@
             )
         return _table(("document", "made by", "seed", "versions", "holds", "lacks"), lines)
 
+    def _notes(self) -> str:
+        notes = [
+            (f"capacity/{name}.json", one) for name in self.documents for one in self.documents[name].notes
+        ]
+        return _table(("document", "note"), notes or [("none", "")])
+
     def _sizes(self) -> str:
         lines = []
         for vary in dimensions():
@@ -438,45 +451,47 @@
 
     # Events
 
-    def _found(self, name: str, figure: str) -> list[tuple[Sizes, list[float]]]:
-        """Give an event's figure by the sizes it was measured at, the nearest to the day's first."""
+    def _plays(self, name: str) -> list[tuple[Sizes, list[dict[str, float]]]]:
+        """Give an event's plays by the sizes they were played at, the nearest to the day's first."""
         full = self.documents.get("full")
-        groups: dict[Sizes, list[float]] = {}
+        plays: dict[Sizes, list[dict[str, float]]] = {}
         for one in full.events if full else ():
-            if one.name == name and figure in one.figures:
-                groups.setdefault(one.sizes, []).append(one.figures[figure])
-        return sorted(
-            groups.items(), key=lambda item: (abs(item[0].schedulers - DAY.schedulers), repr(item[0]))
-        )
+            if one.name == name:
+                plays.setdefault(one.sizes, []).append(one.figures)
+        return sorted(plays.items(), key=lambda one: (abs(one[0].schedulers - DAY.schedulers), repr(one[0])))
 
     def _events(self) -> str:
         lines = []
         for name, event in EVENTS.items():
-            found = self._found(name, "all_in_force_s")[:1]
-            took = used = ""
-            goal = self._goal(event, "all_in_force_s")
-            for sizes, values in found:
-                took = f"{_spread(values)} s m at {_names('schedulers', sizes.schedulers)}"
-                used = self._worst(event, "all_in_force_s", values)
-            cells = (took or MISSING, goal, used, event.mechanism, event.beyond)
+            took, used = MISSING, ""
+            for sizes, plays in self._plays(name)[:1]:
+                values = [one[FORCE] for one in plays if FORCE in one]
+                failed = len(plays) - len(values)
+                cells = [f"{_spread(values)} s m"] if values else []
+                cells += [f"{NEVER} in {failed} of {len(plays)} plays m"] if failed else []
+                took = f"{', '.join(cells)} at {_names('schedulers', sizes.schedulers)}"
+                used = self._worst(event, FORCE, values)
+            cells = [took, self._goal(event, FORCE), used, event.mechanism, event.beyond]
             lines.append((event.title, event.often, *cells))
         head = ("event", "how often", "all in force after", "goal", "used, worst", "carried by")
         return _table((*head, "breaks first beyond"), lines)
 
     def _event(self, name: str) -> str:
-        full, event = self.documents.get("full"), EVENTS[name]
-        names = {
-            figure for one in (full.events if full else ()) if one.name == name for figure in one.figures
-        }
+        event, plays = EVENTS[name], self._plays(name)
+        names = {figure for _, some in plays for one in some for figure in one}
         lines = []
-        for figure in sorted(names | event.budgets.keys() | {"all_in_force_s"}):
-            goal, found = self._goal(event, figure), self._found(name, figure)
-            if not found:
+        for figure in sorted(names | event.budgets.keys() | {FORCE}):
+            goal = self._goal(event, figure)
+            if not plays:
                 lines.append((figure, MISSING, "", "", goal, ""))
-            for sizes, values in found:
+            for sizes, some in plays:
                 at = f"{_names('schedulers', sizes.schedulers)}, {_names('nodes', sizes.nodes)}"
-                took = f"{_spread(values)}{unit(figure)} m"
-                lines.append((figure, took, str(len(values)), at, goal, self._worst(event, figure, values)))
+                values = [one[figure] for one in some if figure in one]
+                took = (
+                    f"{_spread(values)}{unit(figure)} m" if values else NEVER if figure == FORCE else MISSING
+                )
+                count = f"{len(values)} of {len(some)}"
+                lines.append((figure, took, count, at, goal, self._worst(event, figure, values)))
         return _table(("figure", "median (least to most)", "plays", "at", "budget", "used, worst"), lines)
 
     def _goal(self, event: EventKind, figure: str) -> str:
@@ -486,7 +501,7 @@
         return f"{number(budget.amount)}{unit(figure)} {budget.mark}"
 
     def _worst(self, event: EventKind, figure: str, values: Sequence[float]) -> str:
-        if figure not in event.budgets:
+        if figure not in event.budgets or not values:
             return ""
         share = max(values) / self.budgets[event.budgets[figure]].amount
         return f"{100 * share:.0f}%{' OVER' if share > 1 else ''} m"
@@ -528,13 +543,6 @@
     return got
 
 
-def add_parser(actions: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
-    """Describe the sub-command."""
-    capacity = actions.add_parser("capacity", help="work out the tables of docs/CAPACITY.md")
-    capacity.add_argument("page", metavar="PAGE", help="its documents lie beside it, in capacity/")
-    capacity.add_argument("--check", action="store_true", help="change nothing; 1 where a table differs")
-
-
 def run(options: argparse.Namespace) -> int:
     """Write or check the tables; 1 where they differ or can't be made, told on standard error."""
     path = Path(options.page)
--- a/runloft/lab/scale/options.py
+++ b/runloft/lab/scale/options.py
@@ -51,3 +51,10 @@
     scale.add_argument("--deadline-s", type=float, default=1800.0, help="for all of it (default 1800)")
     scale.add_argument("--output", metavar="FILE", help="write the result as JSON, partial ones too")
     scale.add_argument("--plot", metavar="FILE", help="draw figures by size (PNG, SVG)")
+
+
+def add_capacity_parser(actions: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Describe the sub-command that works out the page about capacity."""
+    capacity = actions.add_parser("capacity", help="work out the tables of docs/CAPACITY.md")
+    capacity.add_argument("page", metavar="PAGE", help="its documents lie beside it, in capacity/")
+    capacity.add_argument("--check", action="store_true", help="change nothing; 1 where a table differs")
--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -69,6 +69,7 @@
     beyond: str
     every: float = 1.0
     guessed: bool = False  # ``every`` is a guess
+    alone: bool = False  # without clients and their statements
 
 
 WATCH = "net/discovery.py: watch, a long-lived stream of changes, resumed by index"
@@ -115,8 +116,10 @@
         "full", "control bytes", "the three above", "the budget"),
     Row("control", "watch and agreement, processor", ("scheduler.control.cpu",), "full", "control cpu",
         "the same", LATE_TURNS),
-    Row("control", "memory", ("scheduler.control.resident_mb",), "full", "control memory",
-        "core/reducer.py: table of nodes; config/agreement: generations", "the budget"),
+    Row("control", "watch and agreement, memory", ("scheduler.control.resident_mb",), "full",
+        "control memory", "core/reducer.py: table of nodes; config/agreement: generations", "the budget"),
+    Row("control", "the program without clients, memory", ("scheduler.resident_mb",), "datapath",
+        "control memory", "cli.py: modules loaded once", "the budget", alone=True),
     Row("control", "metrics, bytes a scrape", ("scheduler.metrics.scrape_bytes",), "datapath", None, SCRAPE,
         "bounded by the volumes shown"),
     Row("control", "metrics, processor a scrape", ("scheduler.metrics.scrape_cpu_s",), "datapath", None,
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -1,6 +1,5 @@
 """The page about capacity: its tables follow from the committed documents, and from nothing else."""
 
-import argparse
 import json
 import re
 from dataclasses import replace
@@ -8,16 +7,16 @@
 
 import pytest
 
+from runloft.cli import main
 from runloft.lab.scale.capacity import (
     MISSING,
     TABLE,
     CapacityError,
     Page,
-    add_parser,
     documents_of,
     filled,
-    run,
 )
+from runloft.lab.scale.fitting import slopes
 from runloft.lab.scale.records import Event, Point, Result, Sizes, Slope
 from runloft.lab.scale.roles import BUDGETS, DAY, EVENTS, Budget
 
@@ -64,6 +63,17 @@
     assert filled(text, Page(documents_of(PAGE.parent / "capacity")).tables()) == text
 
 
+def test_the_committed_slopes_are_those_of_their_points():
+    for name, document in documents_of(PAGE.parent / "capacity").items():
+        again = {(s.vary, s.figure): s for s in slopes(document.points)}
+        assert again.keys() == {(s.vary, s.figure) for s in document.slopes}, name
+        for one in document.slopes:
+            other = again[one.vary, one.figure]
+            near = pytest.approx((other.slope, other.intercept), rel=1e-6, abs=1e-9)
+            assert (one.slope, one.intercept) == near, (name, one)
+            assert (one.spread, one.points) == (pytest.approx(other.spread), other.points), (name, one)
+
+
 def test_a_figure_is_its_slopes_by_the_size():
     cells = row(Page({"full": FULL}).tables(), "day-control", "watch and agreement, processor")
     assert cells[1] == "1.00e-05 x 450 schedulers + 1.00e-05 x 820 nodes + 0.002 w"
@@ -142,11 +152,20 @@
 def test_an_event_is_told_with_its_worst_play_and_its_size():
     tables = Page({"full": FULL}).tables()
     assert row(tables, "event-change", "all_in_force_s")[1:] == [
-        "4 (3 to 5) s m", "2", "450 schedulers, 820 nodes", "10 s given", "50% m"]  # fmt: skip
+        "4 (3 to 5) s m", "2 of 2", "450 schedulers, 820 nodes", "10 s given", "50% m"]  # fmt: skip
     assert row(tables, "events", "a change of primary")[2] == "1 s m at 150 schedulers"
     assert row(tables, "events", "a rack of 40 dies")[2] == MISSING
 
 
+def test_an_event_that_did_not_reach_all_is_never_passed_over():
+    failed = Event("change", Sizes(450, 820), 2, {"in_force_count": 449.0})
+    page = Page({"full": replace(FULL, events=(*FULL.events, failed))})
+    tables, wants = page.tables(), "NOT reached in 1 of 3 plays m"
+    assert wants in row(tables, "events", "a change of configuration")[2]
+    assert [used for _, _, used, _ in page.over()] == [wants] and wants in tables["over-budget"]
+    assert row(tables, "event-change", "all_in_force_s")[2] == "2 of 3"
+
+
 @pytest.fixture
 def page(tmp_path):
     """A page with all tables, and its documents beside it; gives what runs the command on it."""
@@ -154,9 +173,7 @@
     (tmp_path / "capacity" / "full.json").write_text(FULL.dump())
     marks = "".join(f"# {name}\n<!-- table: {name} -->\n<!-- end -->\n" for name in Page({}).tables())
     (tmp_path / "CAPACITY.md").write_text(f"Words.\n{marks}Last words.\n")
-    parser = argparse.ArgumentParser()
-    add_parser(parser.add_subparsers())
-    return lambda *options: run(parser.parse_args(["capacity", str(tmp_path / "CAPACITY.md"), *options]))
+    return lambda *options: main(["lab", "capacity", str(tmp_path / "CAPACITY.md"), *options])
 
 
 def test_the_command_writes_what_its_check_then_finds_right(page, tmp_path, capsys):
