--- a/runloft/lab/scale/datapath.py
+++ b/runloft/lab/scale/datapath.py
@@ -9,6 +9,7 @@
 import json
 import math
 import os
+import platform
 import re
 import resource
 import select
@@ -21,7 +22,8 @@
 from collections import deque
 from collections.abc import AsyncIterator, Callable, Sequence
 from contextlib import asynccontextmanager
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
+from importlib.metadata import version
 from pathlib import Path
 from random import Random
 from typing import Any, cast
@@ -30,6 +32,7 @@
 import anyio.abc
 import tomli_w
 
+from runloft import __version__
 from runloft.config.settings import address
 from runloft.fronts.accepting import CLIENT_PART, CROWD_PART
 from runloft.fronts.resp import IDLE_NS
@@ -37,7 +40,7 @@
 from runloft.lab.load import GRACE_S
 from runloft.lab.node import LabNode, NodeKind
 from runloft.lab.redis import RedisStandIn
-from runloft.lab.scale.records import Sizes
+from runloft.lab.scale.records import Event, Point, Result, Sizes, result_from
 from runloft.net import resp2
 from runloft.net.links import OTHERS
 
@@ -314,7 +317,7 @@
 @asynccontextmanager
 async def crew() -> AsyncIterator[Crew]:
     """Keep a crew; on every way out each of its processes is ended and reaped."""
-    with tempfile.TemporaryDirectory(prefix="runloft-scale-") as folder:
+    with tempfile.TemporaryDirectory(prefix="runloft-datapath-") as folder:
         made = Crew(Path(folder))
         try:
             yield made
@@ -396,13 +399,20 @@
 
 
 async def _started(
-    made: Crew, sizes: Sizes, limits: Limits, progress: Progress
+    made: Crew, sizes: Sizes, limits: Limits, progress: Progress, admin: bool = True
 ) -> tuple[Child, dict[str, float], dict[str, str]]:
-    """Start nodes, discovery and an operator's scheduler with [admin]: nodes, figures, addresses."""
+    """Start nodes, discovery and a scheduler: the nodes, its start's figures, its addresses.
+
+    With ``admin`` it has an operator's file with that table, otherwise the platform's.
+    """
     nodes, told = await _listed(made, sizes)
-    raw = operators_file(sizes, limits, told["address"], admin={"listen": "127.0.0.1:0"})
-    path = made.folder / "scheduler.toml"
-    path.write_text(tomli_w.dumps(raw))
+    if admin:
+        path = made.folder / "scheduler.toml"
+        raw = operators_file(sizes, limits, told["address"], admin={"listen": "127.0.0.1:0"})
+        path.write_text(tomli_w.dumps(raw))
+    else:
+        path = made.folder / "scheduler.json"
+        path.write_text(json.dumps(platforms_file(sizes, limits, told["address"], told["listed"])))
     began = time.monotonic()
     made.scheduler = await made.serve("scheduler", path)
     where = {"serve": await made.logged(made.scheduler, SERVING)}
@@ -410,7 +420,8 @@
         "scheduler.start_s": time.monotonic() - began,
         "scheduler.start_cpu_s": made.scheduler.cpu_s(),
     }
-    where["admin"] = await made.logged(made.scheduler, ADMIN)
+    if admin:
+        where["admin"] = await made.logged(made.scheduler, ADMIN)
     progress(f"scheduler (process {made.scheduler.process.pid}) serves before {sizes.nodes} nodes")
     return nodes, figures, where
 
@@ -449,12 +460,15 @@
 async def resting(
     sizes: Sizes, looks_s: Sequence[float], seed: int, progress: Progress, limits: Limits = Limits()
 ) -> dict[str, float]:
-    """Let clients come, speak once and rest; how many are open so long after the last has come."""
+    """Let clients come, speak once and rest; how many are open so long after the last has come.
+
+    The scheduler has the platform's file: what an operator's loads takes memory of its own.
+    """
     check(sizes, limits)
     figures: dict[str, float] = {}
     async with crew() as made:
         clients = await made.stand_in("clients")
-        _, _, where = await _started(made, sizes, limits, progress)
+        _, _, where = await _started(made, sizes, limits, progress, admin=False)
         assert made.scheduler is not None
         await made.wait(LISTED_S)
         figures["scheduler.before.resident_mb"] = resident_mb(made.scheduler.process.pid)
@@ -511,6 +525,78 @@
     return out
 
 
+# The record
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """One size of the record: a point where ``vary`` is given, else an event by its name."""
+
+    name: str
+    sizes: Sizes
+    vary: str = ""
+    limits: Limits = Limits()
+    in_turn: bool = True
+    rests: bool = False
+
+
+FULL = Sizes(schedulers=450, nodes=820)
+RATE = 644 / 8222  # statements a second for each client: one every 12.8 s
+LOOKS_S = (0.0, 2.0, 5.0, 10.0, 14.0, 15.0, 17.0, 20.0)
+UNCROWDED = Limits(sockets=60_000)  # a sixth is more than all clients: none is closed before 15 s
+
+
+def parts() -> list[Part]:
+    """Give the record's sizes."""
+    out = [Part("clients", replace(FULL, clients=clients), "clients") for clients in (0, 500, 2000, 8222)]
+    for statements in (100.0, 300.0, 644.0):
+        out.append(Part("statements", replace(FULL, statements=statements), "statements"))
+    out += [Part("nodes", replace(FULL, nodes=nodes, statements=300.0), "nodes") for nodes in (100, 300, 820)]
+    for clients in (500, 2000, 8222):
+        sizes = replace(FULL, clients=clients, statements=round(clients * RATE, 1))
+        out.append(Part("clients-ask-in-turn", sizes))
+        out.append(Part("clients-ask-by-lot", sizes, in_turn=False))
+    for clients in (2000, 4000, 8222):
+        out.append(Part("clients-rest", replace(FULL, clients=clients), rests=True))
+    for clients in (500, 2000, 4000, 8222):
+        sizes = replace(FULL, clients=clients)
+        out.append(Part("clients-rest-uncrowded", sizes, limits=UNCROWDED, rests=True))
+    return out
+
+
+async def record(output: Path, repeats: int, seconds: float, seed: int, only: Sequence[str]) -> None:
+    """Measure what the record holds, or some of it, into a document that may hold the rest already."""
+    result = result_from(output.read_text()) if output.exists() else Result("", seed, {})
+    command = f"python -m runloft.lab.scale.datapath record --repeats {repeats} --seconds {seconds:g}"
+    versions = {"runloft": __version__, "python": platform.python_version(), "anyio": version("anyio")}
+    result = replace(result, command=f"{command} --seed {seed}", versions=versions)
+    chosen = [one for one in parts() if not only or one.name in only]
+    names = {one.name for one in chosen} | ({"starts"} if not only or "starts" in only else set())
+    kept = tuple(one for one in result.points if one.vary not in names)
+    events = tuple(one for one in result.events if one.name.partition(":")[0] not in names)
+    result = replace(result, points=kept, events=events)
+    for repeat in range(repeats):
+        for one in chosen:
+            print(one.name, one.sizes, repeat, flush=True)
+            if one.rests:
+                looks = LOOKS_S if one.limits == Limits() else (0.0, 2.0)
+                found = await resting(one.sizes, looks, seed + repeat, print, one.limits)
+            else:
+                found = await points(one.sizes, seconds, seed + repeat, print, one.limits, one.in_turn)
+            if one.vary:
+                point = Point(one.vary, one.sizes, repeat, seconds, found)
+                result = replace(result, points=(*result.points, point))
+            else:
+                event = Event(one.name, one.sizes, repeat, found)
+                result = replace(result, events=(*result.events, event))
+            output.write_text(result.dump())
+    if "starts" in names:
+        for name, repeat, found in await starts(FULL, repeats, print):
+            event = Event(f"starts:{name}", FULL, repeat, found)
+            result = replace(result, events=(*result.events, event))
+        output.write_text(result.dump())
+
+
 # Stand-ins
 
 
@@ -849,15 +935,27 @@
 
 
 def main() -> None:
-    """Be a stand-in: ended by the end of its input, not by the terminal's interrupt."""
+    """Be a stand-in, which ends with its input and not by the terminal's interrupt; or make the record."""
     options = argparse.ArgumentParser()
-    options.add_argument("role", choices=[*ROLES, "clients"])
-    role = options.parse_args().role
+    roles = options.add_subparsers(dest="role", required=True)
+    for role in (*ROLES, "clients"):
+        roles.add_parser(role)
+    recording = roles.add_parser("record", help="measure what docs/capacity/datapath.json holds")
+    recording.add_argument("--output", type=Path, default=Path("docs/capacity/datapath.json"))
+    recording.add_argument("--repeats", type=int, default=3)
+    recording.add_argument("--seconds", type=float, default=10.0, help="measured, of each size")
+    recording.add_argument("--seed", type=int, default=1)
+    recording.add_argument("--only", default="", metavar="NAME,...", help="parts that are measured anew")
+    given = options.parse_args()
+    if given.role == "record":
+        only = [name for name in given.only.split(",") if name]
+        anyio.run(record, given.output, given.repeats, given.seconds, given.seed, only)
+        return
     signal.signal(signal.SIGINT, signal.SIG_IGN)
-    if role == "clients":
+    if given.role == "clients":
         Clients().run()
     else:
-        anyio.run(ROLES[role])
+        anyio.run(ROLES[given.role])
 
 
 if __name__ == "__main__":
