--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -23,6 +23,7 @@
     REGION_AWAY,
     ROWS,
     STATE,
+    WHOLE,
     ZONE_AWAY,
     Budget,
     EventKind,
@@ -34,6 +35,7 @@
 MISSING = "not measured"
 FORCE = "all_in_force_s"
 NEVER = "NOT reached"
+AT_WORK = "clients-ask-by-lot"  # one scheduler with all its clients and their statements
 ENOUGH = 0.99  # part of what has to be there that counts as all of it
 NOTICED = 0.1  # part of a figure from which on it is said to grow with a size
 GUESS_PART = 0.01  # part of a figure from which on a guessed size makes it a guess
@@ -153,12 +155,18 @@
 
     def _measured(self, figure: str, sizes: Sizes, counted: Sequence[Slope]) -> tuple[float, int] | None:
         wanted = [(slope.vary, float(getattr(sizes, slope.vary))) for slope in counted]
-        there = [
-            one.figures[figure]
-            for one in (self.result.points if self.result else ())
-            if figure in one.figures and all(float(getattr(one.sizes, d)) == size for d, size in wanted)
-        ]
-        return (fmean(there), len(there)) if there and wanted else None
+        if self.result is None or not wanted:
+            return None
+        # One scheduler with all its clients and their statements, rather than points where either is missing.
+        for some in ([one for one in self.result.events if one.name == AT_WORK], self.result.points):
+            there = [
+                one.figures[figure]
+                for one in some
+                if figure in one.figures and all(float(getattr(one.sizes, d)) == size for d, size in wanted)
+            ]
+            if there:
+                return fmean(there), len(there)
+        return None
 
 
 def _bends(figure: str, slope: Slope, points: Sequence[Point]) -> bool:
@@ -207,6 +215,7 @@
         for table in dict.fromkeys(row.table for row in ROWS):
             got[f"day-{table}"] = self._rows([row for row in ROWS if row.table == table], DAY)
         path = [row for row in ROWS if row.table == "path"]
+        got |= {name: self._whole(name) for name in WHOLE}
         got["zone-away"] = self._rows(path, ZONE_AWAY)
         got["region-away"] = self._rows(path, REGION_AWAY)
         got["before"] = self._before()
@@ -494,6 +503,24 @@
                 lines.append((figure, took, count, at, goal, self._worst(event, figure, values)))
         return _table(("figure", "median (least to most)", "plays", "at", "budget", "used, worst"), lines)
 
+    def _whole(self, name: str) -> str:
+        """Show what one scheduler was measured at, size by size."""
+        shown, path = WHOLE[name], self.documents.get("datapath")
+        plays: dict[tuple[str, Sizes], list[dict[str, float]]] = {}
+        for one in path.events if path else ():
+            if one.name.partition(":")[0] in shown.names:
+                plays.setdefault((one.name, one.sizes), []).append(one.figures)
+        lines = []
+        for (event, sizes), some in plays.items():
+            kind, _, more = event.partition(":")
+            cells = [f"{shown.names[kind]}{more}", *(number(float(getattr(sizes, d))) for d in shown.sizes)]
+            for figure in shown.figures.values():
+                values = [one[figure] for one in some if figure in one]
+                cells.append(f"{_spread(values)}{unit(figure)} m" if values else "")
+            lines.append((*cells, str(len(some))))
+        nothing = [(MISSING, *[""] * (len(shown.sizes) + len(shown.figures) + 1))]
+        return _table(("what", *shown.sizes, *shown.figures, "plays"), lines or nothing)
+
     def _goal(self, event: EventKind, figure: str) -> str:
         if figure not in event.budgets:
             return "none"
--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -201,6 +201,51 @@
 }
 
 
+@dataclass(frozen=True, slots=True)
+class Shown:
+    """A table of what one scheduler was measured at as a whole: its events, and figures by their heads."""
+
+    names: Mapping[str, str]  # event -> what it is called; what stands behind a colon is added
+    sizes: tuple[str, ...]
+    figures: Mapping[str, str]  # head -> figure
+
+
+LOOKS = (0, 2, 5, 10, 14, 15, 17, 20)
+WHOLE: Mapping[str, Shown] = {
+    "path-together": Shown(
+        {"clients-ask-in-turn": "in turn", "clients-ask-by-lot": "by lot"},
+        ("clients", "statements"),
+        {
+            "open": "scheduler.clients_open_count",
+            "closed": "scheduler.client_closes_per_s",
+            "connecting": "scheduler.client_connects_per_s",
+            "processor": "scheduler.cpu",
+            "memory": "scheduler.resident_mb",
+            "descriptors": "scheduler.descriptors_count",
+            "answered": "client.answered_share",
+            "refused": "client.refused_share",
+            "99th percentile": "client.p99_ms",
+        },
+    ),
+    "path-rest": Shown(
+        {"clients-rest": "as set", "clients-rest-uncrowded": "60,000 sockets"},
+        ("clients",),
+        {"memory before": "scheduler.before.resident_mb", "memory at most": "scheduler.resident_mb"}
+        | {f"open after {at} s": f"scheduler.after_{at}_s.clients_open_count" for at in LOOKS},
+    ),
+    "path-starts": Shown(
+        {"starts": ""},
+        (),
+        {
+            "until it serves": "scheduler.start_s",
+            "processor until then": "scheduler.start_cpu_s",
+            "processor in the next 2 s": "scheduler.first_2_s.cpu_s",
+            "memory then": "scheduler.resident_mb",
+        },
+    ),
+}
+
+
 @dataclass(frozen=True, slots=True)
 class Held:
     """State of a role: so many entries of a kind for each unit of a size, 0: ``each`` in all."""
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -166,6 +166,21 @@
     assert row(tables, "event-change", "all_in_force_s")[2] == "2 of 3"
 
 
+def test_one_scheduler_with_all_its_clients_stands_beside_what_was_worked_out():
+    name, figure = "clients-ask-by-lot", "scheduler.cpu"
+    busy = [Event(name, replace(DAY, volumes=10), repeat, {figure: 0.5 + repeat / 10}) for repeat in (0, 1)]
+    path = document(
+        line("clients", figure, 1e-5, 0.1, (0, 8222)),
+        line("statements", figure, 5e-4, 0.1, (100, 644)),
+        events=[*busy, Event("starts:platform", DAY, 0, {"scheduler.start_s": 0.4})],
+    )
+    tables = Page({"datapath": path}).tables()
+    assert row(tables, "day-path", "processor")[2:4] == ["0.5042 cores w", "0.55 cores m (2)"]
+    cells = row(tables, "path-together", "by lot")
+    assert cells[1:3] == ["8,222", "644"] and cells[6] == "0.55 (0.5 to 0.6) cores m"
+    assert row(tables, "path-starts", "platform")[1] == "0.4 s m"
+
+
 @pytest.fixture
 def page(tmp_path):
     """A page with all tables, and its documents beside it; gives what runs the command on it."""
@@ -235,7 +250,7 @@
         for row_ in text.splitlines()[2:]:
             for cell in row_.strip("|").split("|")[1:]:
                 if re.match(r" [0-9][0-9.,]*(%| (?!given|limit|[mwg] )[A-Za-z/]+)? $", cell):
-                    assert name.startswith("event-"), (name, cell)  # plays are counted, not measured
+                    assert name.startswith(("event-", "path-")), (name, cell)  # plays and sizes are counted
 
 
 def test_the_size_is_the_operators_own():
