--- a/runloft/lab/scale/events.py
+++ b/runloft/lab/scale/events.py
@@ -7,6 +7,7 @@
 
 import time
 from collections.abc import Awaitable, Callable, Sequence
+from typing import Any
 
 import anyio
 
@@ -196,14 +197,24 @@
 
 
 async def store_restarts_empty(fleet: Fleet, notes: Notes) -> Figures:
-    """Let the store forget all; ``all_in_force_s`` until all are back at it, then a change is rolled out."""
+    """Let the store forget all; ``all_in_force_s`` until all are back and so are the records.
+
+    Then a change is rolled out.
+    """
+    held = int((await fleet.store.do("counted"))["keys"])
+    held = min(held, fleet.alive + 2)  # a lease of each, who is known, what is in force
     began = time.monotonic()
     await fleet.store.do("empty")
+    counted: dict[str, Any] = {}
     with anyio.move_on_after(MOST_S) as waiting:
-        while sum((await fleet.store.do("counted"))["connections"][:2]) < fleet.alive:
+        while True:
+            counted = await fleet.store.do("counted")
+            if sum(counted["connections"][:2]) >= fleet.alive and counted["keys"] >= held:
+                break
             await anyio.sleep(LOOK_S)
     if waiting.cancelled_caught:
-        notes.append("not all came back to the store")
+        back = sum(counted["connections"][:2])
+        notes.append(f"{back} of {fleet.alive} connections and {counted['keys']} of {held} records came back")
         return {}
     figures = {"all_in_force_s": await fleet.together() - began}
     await anyio.sleep(2 * fleet.setup.lease_ms / 1000)  # until what was lost is put back
