--- a/runloft/lab/scale/engine.py
+++ b/runloft/lab/scale/engine.py
@@ -116,8 +116,7 @@
                     if self._lack(what, error):
                         return
                 else:
-                    if found is not None:
-                        self.points.append(Point(vary, sizes, repeat, *found))
+                    self.points.append(Point(vary, sizes, repeat, *found))
         for repeat in range(order.repeats if order.events else 0):
             try:
                 await self._events(repeat)
@@ -125,21 +124,13 @@
                 if self._lack(f"events, repeat {repeat}", error):
                     return
 
-    async def _point(self, vary: str, sizes: Sizes) -> tuple[float, dict[str, float]] | None:
+    async def _point(self, vary: str, sizes: Sizes) -> tuple[float, dict[str, float]]:
         setup = self.order.setup
         if vary in DATA_PATH:
-            try:
-                # Loaded here: only what needs real schedulers starts any.
-                from runloft.lab.scale import datapath  # type: ignore[attr-defined,unused-ignore]
-            except ImportError:
-                self.missing.append(
-                    f"{vary}={getattr(sizes, vary):g}: there is no runloft.lab.scale.datapath"
-                )
-                return None
-            figures: dict[str, float] = await datapath.points(
-                sizes, setup.seconds, setup.seed, setup.progress
-            )
-            return setup.seconds, figures
+            # Loaded here: only what needs a real scheduler starts one.
+            from runloft.lab.scale import datapath
+
+            return setup.seconds, await datapath.points(sizes, setup.seconds, setup.seed, setup.progress)
         with tempfile.TemporaryDirectory(prefix="runloft-scale-") as folder:
             return await measure(sizes, setup, Path(folder))
 
@@ -192,8 +183,7 @@
         for vary, sizes in self.order.sizes():
             for repeat in range(self.order.repeats):
                 what = f"{vary}={getattr(sizes, vary):g}"
-                told = any(one.startswith(f"{what}:") for one in self.missing)
-                told = told or any(one.startswith(f"{what}, repeat {repeat}:") for one in self.missing)
+                told = any(one.startswith(f"{what}, repeat {repeat}:") for one in self.missing)
                 if (vary, sizes, repeat) not in have and not told:
                     self.missing.append(f"{what}, repeat {repeat}: {self.why}")
         done = {(one.name, one.repeat) for one in self.events}
--- a/runloft/lab/scale/events.py
+++ b/runloft/lab/scale/events.py
@@ -55,6 +55,7 @@
             times = await fleet.changed(above)
     figures = timed(list(times.values()), report["began"], wanted)
     figures |= {f"tool.{name}": float(report[name]) for name in ("cpu_s", "in_bytes", "out_bytes")}
+    figures["tool.left_out_count"] = float(report["left_out"])
     figures["tool.took_s"] = report["ended"] - report["began"]
     if len(times) < wanted:
         notes.append(f"{len(times)} of {wanted} went by the change")
--- a/runloft/lab/scale/tool.py
+++ b/runloft/lab/scale/tool.py
@@ -44,4 +44,5 @@
             "cpu_s": time.process_time() - cpu,
             "done": report["done"],
             "why": str(report["why"]),
+            "left_out": len(report.get("left_out", ())),  # silent ones, which it went on without
         }
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -5,7 +5,6 @@
 import signal
 import subprocess
 import sys
-import types
 from pathlib import Path
 
 import anyio
@@ -16,6 +15,7 @@
 from runloft.lab.discovery import Instances
 from runloft.lab.keyspace import Keyspace
 from runloft.lab.redis import RedisStandIn
+from runloft.lab.scale import datapath
 from runloft.lab.scale.bounds import Machine, lacking
 from runloft.lab.scale.engine import Order, Run
 from runloft.lab.scale.events import EVENTS, timed
@@ -220,23 +220,16 @@
     assert "missing: schedulers=2" in capsys.readouterr().err
 
 
-def test_the_data_path_is_measured_where_it_is_and_named_where_it_is_not(monkeypatch):
-    order = Order(SETUP, SMALL, (("clients", (7,)),))
-    monkeypatch.setitem(sys.modules, "runloft.lab.scale.datapath", None)
-    result = anyio.run(Run(order).run)
-    assert result.missing == ("clients=7: there is no runloft.lab.scale.datapath",)
-
+def test_the_data_path_is_measured_at_a_real_scheduler_and_what_it_cannot_bear_is_marked(monkeypatch):
     async def points(sizes, seconds, seed, progress):
+        if sizes.clients > 7:
+            raise datapath.SizeError("8 clients are too many")
         return {"scheduler.resident_mb": float(sizes.clients)}
 
-    there = types.ModuleType("runloft.lab.scale.datapath")
-    there.points = points
-    monkeypatch.setitem(sys.modules, "runloft.lab.scale.datapath", there)
-    import runloft.lab.scale
-
-    monkeypatch.setattr(runloft.lab.scale, "datapath", there, raising=False)
-    result = anyio.run(Run(order).run)
-    assert result.missing == () and result.points[0].figures == {"scheduler.resident_mb": 7.0}
+    monkeypatch.setattr(datapath, "points", points)
+    result = anyio.run(Run(Order(SETUP, SMALL, (("clients", (7, 8)),))).run)
+    assert [one.figures for one in result.points] == [{"scheduler.resident_mb": 7.0}]
+    assert result.missing == ("clients=8, repeat 0: SizeError: 8 clients are too many",)
 
 
 def test_an_interrupt_keeps_what_there_is_and_leaves_nothing_running(tmp_path):
