Let a change come a lease after its commit, and a fence be one and a half leases

Cause: with half a lease to its moment, a sidecar that heard the store within a lease may not have been told.

--- a/runloft/config/agreement/rollout.py
+++ b/runloft/config/agreement/rollout.py
@@ -18,7 +18,6 @@
 from runloft.config.agreement.records import Force, Lease, Mark, Rank, Stage, View, rank_of
 
 PATIENCE = 4  # leases: for answers, and for all to have changed
-FORESEEN = 2  # a part of the lease: so long before its moment a change is written; two exchanges see it
 
 
 class Phase(Enum):
@@ -47,7 +46,8 @@
 
     Only while ``expects`` is in force, the stage is there, exactly ``names`` are known, those ``left_out``
     have heard nothing more, and those ``fenced`` have asked nothing more: these are not known any more.
-    ``in_ns``: the moment, from the store's time at which it is written.
+    ``in_ns``: the moment, from the store's time at which it is written; a lease, so that whoever heard the
+    store within a lease of it has been told.
     """
 
     force: Force
@@ -265,7 +265,7 @@
         if left_out:
             said += f"; silent and left out: {', '.join(sorted(left_out))}"
         return [
-            PutForce(self.wanted, rank, names, self.lease_ns // FORESEEN, left_out, fenced),
+            PutForce(self.wanted, rank, names, self.lease_ns, left_out, fenced),
             Tell(said),
         ]
 
--- a/runloft/config/operator.py
+++ b/runloft/config/operator.py
@@ -9,6 +9,7 @@
 import attrs
 
 from runloft.config import kinds
+from runloft.config.agreement.fencing import DRIFT
 from runloft.config.faults import Fault, Severity, nearest
 from runloft.config.kinds import (
     Address,
@@ -23,7 +24,15 @@
     size,
 )
 from runloft.config.records import Check, Named, Reader, Record, Rows, Table, raw_of, setting
-from runloft.config.settings import EFFECTS, GROUPS, MEMORY_MB, OPERATIONS, PROGRAM_MB, REPORT_FIELDS
+from runloft.config.settings import (
+    EFFECTS,
+    FENCE_LEASES,
+    GROUPS,
+    MEMORY_MB,
+    OPERATIONS,
+    PROGRAM_MB,
+    REPORT_FIELDS,
+)
 
 MOST_BYTES = 8 << 20  # of one file
 STORE_SOCKETS = 16  # connections to the shared store at most
@@ -37,8 +46,8 @@
 OTHERS = 32  # descriptors that no client or node has
 CHANGE_MS = 10_000.0  # a change is to be in force everywhere within so long
 # What a change waits for where somebody is silent (docs/design/agreement.md): until the fence is over for
-# certain; then half a lease to its moment, an exchange, and a look of the tool's.
-FENCE_OVER, BEHIND_FENCE = 17 / 16, 1 / 2 + 1 / 4 + 1 / 10
+# certain; then a lease to its moment, and a look of the tool's.
+FENCE_OVER, BEHIND_FENCE = 1 + 1 / DRIFT, 1 + 1 / 10
 EXCHANGES = 4  # an exchange with the store may take the lease by this
 # Figures beside classes and plans that shares, refusals or rules go by: the same at each sidecar.
 SHARED = {
@@ -332,7 +341,7 @@
     prefix: str = setting("prefix", kinds.name(), "runloft", "of every key in the store")
     lease: float = setting("lease_ms", milliseconds(200.0, 600_000.0), 3000.0, "silent so long: cut off")
     fence: float | None = setting(
-        "fence_ms", milliseconds(400.0, 3_600_000.0), None, "silent so long: reserves nothing; two leases"
+        "fence_ms", milliseconds(400.0, 3_600_000.0), None, "silent so long: reserves nothing; 1.5 leases"
     )
     cut_off: str = setting("cut_off", AFTER_FENCE, "unreserved", "then: or hold, and serve nothing")
 
@@ -553,15 +562,15 @@
     path, agreement = ("agreement", "lease_ms"), record.agreement
     if agreement is None or agreement.lease is None:
         return
-    lease, fence = agreement.lease, agreement.fence or 2 * agreement.lease
+    lease, fence = agreement.lease, agreement.fence or FENCE_LEASES * agreement.lease
     if fence < lease:
         reason = f"it would be fenced while its lease of {lease:g} ms still allows it to be silent"
         yield ("agreement", "fence_ms"), "fence-below-lease", reason, f"at least {lease:g}", Severity.FAULT
     change = fence * FENCE_OVER + lease * BEHIND_FENCE
     if change > CHANGE_MS:
         reason = f"with a sidecar silent a change may take {change:g} ms, its fence of {fence:g} first"
-        shorter = int(CHANGE_MS / (2 * FENCE_OVER + BEHIND_FENCE))
-        right = f"a lease up to {shorter} and a fence of two, or a shorter fence: {CHANGE_MS:g} ms at most"
+        shorter = int(CHANGE_MS / (FENCE_LEASES * FENCE_OVER + BEHIND_FENCE))
+        right = f"a lease up to {shorter} and its own fence, or a shorter fence: {CHANGE_MS:g} ms at most"
         yield path, "lease-too-long", reason, right, Severity.WARNING
     connect = record.settings.permits.connect if record.settings and record.settings.permits else None
     if connect is not None and lease * 1e6 < EXCHANGES * connect:
--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -53,6 +53,9 @@
     server_port: int = 0  # of object servers whose entry in the list names no address for it
 
 
+FENCE_LEASES = 1.5  # a fence, unless it is set
+
+
 @dataclass(frozen=True, slots=True)
 class AgreementSettings:
     """Where sidecars agree about what is in force, where an operator's file sets it up."""
@@ -61,7 +64,7 @@
     directory: str
     prefix: str = "runloft"
     lease_ns: int = 3_000_000_000
-    fence_ns: int = 6_000_000_000  # nothing is reserved once the store has been silent for so long
+    fence_ns: int = 4_500_000_000  # nothing is reserved once the store has been silent for so long
     cut_off: str = "unreserved"  # what is done then; "hold": nothing is served
 
 
@@ -245,7 +248,7 @@
     """Read what an operator's file was checked for already; the platform's has no such table."""
     lease_ns = int(float(raw.get("lease_ms", 3000.0)) * 1_000_000)
     fence = raw.get("fence_ms")
-    fence_ns = int(float(fence) * 1_000_000) if fence is not None else 2 * lease_ns
+    fence_ns = int(float(fence) * 1_000_000) if fence is not None else int(FENCE_LEASES * lease_ns)
     return AgreementSettings(
         str(raw["store"]), str(raw["directory"]), str(raw.get("prefix", "runloft")),
         lease_ns, fence_ns, str(raw.get("cut_off", "unreserved")),
--- a/runloft/rolling.py
+++ b/runloft/rolling.py
@@ -30,7 +30,7 @@
 )
 from runloft.config.commands import checked_fleet, misused, table, tell
 from runloft.config.faults import serious
-from runloft.config.settings import AgreementSettings, agreement_of
+from runloft.config.settings import FENCE_LEASES, AgreementSettings, agreement_of
 from runloft.sharing.agreement import AgreementStore, StoreError
 
 HASTE = 10  # after a lost reply it looks so many times sooner
@@ -154,10 +154,10 @@
 ) -> int:
     """Carry a roll-out through; what it came to is put into ``report``.
 
-    ``fence_ns``: of the sidecars (0: two leases); one whose lease tells of a longer fence is waited for.
+    ``fence_ns``: of the sidecars (0: as it is unless it is set); a longer one in a lease is heeded.
     """
     lease_ns = store.lease_ms * 1_000_000
-    fence_ns = fence_ns or 2 * lease_ns
+    fence_ns = fence_ns or int(FENCE_LEASES * lease_ns)
     out = RollOut(uuid.uuid4().hex[:12], me(), plan, lease_ns, fence_ns, time.monotonic_ns())
     began = time.monotonic()
     told: list[str] = []
