Load no client of the store for metrics alone

Cause: net/admin.py took Standing from net/agreeing.py for its annotations alone, which loads redis-py. The new test fails with the import as it was.

--- a/runloft/net/admin.py
+++ b/runloft/net/admin.py
@@ -1,6 +1,7 @@
 """The admin listener: metrics over HTTP, off unless an operator's file sets it up."""
 
 from collections.abc import Callable, Iterator
+from typing import TYPE_CHECKING
 
 import structlog
 from prometheus_client import CollectorRegistry, start_http_server
@@ -8,7 +9,9 @@
 
 from runloft.accounts.ledger import OTHERS, Ledger, VolumeTotals
 from runloft.core.reducer import Core
-from runloft.net.agreeing import Standing
+
+if TYPE_CHECKING:  # it brings the store's client along, which metrics need not
+    from runloft.net.agreeing import Standing
 
 log = structlog.get_logger()
 MOST_SHOWN = 20  # volumes with accounts among the metrics
@@ -17,7 +20,7 @@
 class Figures:
     """Gathered when they are asked for; what is read is replaced whole, so no lock is needed."""
 
-    def __init__(self, core: Core, standing: Standing | None) -> None:
+    def __init__(self, core: Core, standing: "Standing | None") -> None:
         self.core, self.standing = core, standing
 
     def collect(self) -> Iterator[Metric]:
@@ -88,7 +91,7 @@
     return sorted(some, key=lambda item: (-item[1].whole_ns, item[0]))[:MOST_SHOWN]
 
 
-def admin_listener(where: tuple[str, int], core: Core, standing: Standing | None) -> Callable[[], None]:
+def admin_listener(where: tuple[str, int], core: Core, standing: "Standing | None") -> Callable[[], None]:
     """Listen, in a thread of the library's; give what closes it."""
     registry = CollectorRegistry(auto_describe=False)
     registry.register(Figures(core, standing))
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -489,6 +489,11 @@
     assert refused.value.code == 503 and refused.value.headers["Retry-After"] == "1"
 
 
+def test_metrics_alone_load_no_client_of_the_store():
+    code = "import sys, runloft.net.admin; sys.exit(bool(sys.modules.keys() & {'redis', 'lmdb'}))"
+    assert subprocess.run([sys.executable, "-c", code], cwd=ROOT).returncode == 0
+
+
 def test_metrics_tell_of_the_agreement(pair, tmp_path):
     with open(pair.path / "files" / "ingest.toml", "a") as file:
         file.write('[admin]\nlisten = "127.0.0.1:0"\n')
