--- a/runloft/lab/scale/datapath.py
+++ b/runloft/lab/scale/datapath.py
@@ -572,7 +572,11 @@
     result = result_from(output.read_text()) if output.exists() else Result("", seed, {})
     command = f"python -m runloft.lab.scale.datapath record --repeats {repeats} --seconds {seconds:g}"
     versions = {"runloft": __version__, "python": platform.python_version(), "anyio": version("anyio")}
-    result = replace(result, command=f"{command} --seed {seed}", versions=versions)
+    notes = (
+        "events are sizes under another condition than the points', which their names tell",
+        f"scheduler and stand-ins ran on {len(os.sched_getaffinity(0))} core(s) together",
+    )
+    result = replace(result, command=f"{command} --seed {seed}", versions=versions, notes=notes)
     chosen = [one for one in parts() if not only or one.name in only]
     names = {one.name for one in chosen} | ({"starts"} if not only or "starts" in only else set())
     kept = tuple(one for one in result.points if one.vary not in names)
