--- a/runloft/lab/scale/datapath.py
+++ b/runloft/lab/scale/datapath.py
@@ -362,7 +362,7 @@
         progress(f"{came['open']} of {carriers(sizes)} connections open, all had come in {came['s']:.2f} s")
         if sizes.statements:
             await made.ask(clients, do="load", rate=sizes.statements)
-            await made.wait(settling_s(sizes, limits))
+            await made.wait(settling_s(sizes, limits, in_turn))
         before, began = await made.ask(nodes, do="count"), time.monotonic()
         used, used_by_nodes = scheduler.cpu_s(), nodes.cpu_s()
         await made.ask(clients, do="mark")
@@ -394,9 +394,10 @@
     return figures
 
 
-def settling_s(sizes: Sizes, limits: Limits) -> float:
+def settling_s(sizes: Sizes, limits: Limits, in_turn: bool) -> float:
     """Say how long the load goes on before it is measured: longer than a rest where rests are ended."""
     closes = sizes.clients > int(limits.sockets * CROWD_PART) // 2
+    closes = closes or (sizes.clients > 0 and not in_turn)  # some rest longer than the mean
     closes = closes or sizes.clients / sizes.statements >= IDLE_NS / 1e9
     return IDLE_NS / 1e9 + SETTLE_S if closes else SETTLE_S
 
@@ -559,6 +560,7 @@
         sizes = replace(FULL, clients=clients, statements=round(clients * RATE, 1))
         out.append(Part("clients-ask-in-turn", sizes))
         out.append(Part("clients-ask-by-lot", sizes, in_turn=False))
+    out.append(Part("clients-ask-in-turn-uncrowded", sizes, limits=UNCROWDED))
     for clients in (2000, 4000, 8222):
         out.append(Part("clients-rest", replace(FULL, clients=clients), rests=True))
     for clients in (500, 2000, 4000, 8222):
--- a/tests/test_scale_datapath.py
+++ b/tests/test_scale_datapath.py
@@ -107,6 +107,20 @@
     assert (found["closes"], found["connects"], found["open"]) == (1, 6, 5)
 
 
+@pytest.mark.parametrize(
+    ("sizes", "in_turn", "longer"),
+    [
+        (Sizes(statements=100.0), True, False),
+        (Sizes(clients=3000, statements=300.0), True, False),
+        (Sizes(clients=3001, statements=300.0), True, True),  # beyond a sixth of the descriptors
+        (Sizes(clients=3000, statements=300.0), False, True),
+        (Sizes(clients=3000, statements=200.0), True, True),  # 15 s between a client's statements
+    ],
+)
+def test_load_goes_on_for_longer_than_a_rest_where_rests_are_ended(sizes, in_turn, longer):
+    assert (datapath.settling_s(sizes, Limits(), in_turn) > 15.0) is longer
+
+
 @pytest.mark.parametrize(
     ("sizes", "limits", "says"),
     [
