--- a/runloft/lab/scale/datapath.py
+++ b/runloft/lab/scale/datapath.py
@@ -13,6 +13,7 @@
 import re
 import resource
 import select
+import shutil
 import signal
 import socket
 import subprocess
@@ -50,6 +51,8 @@
     re.compile(rf"serving .*at=(127\.0\.0\.1:\d+) front={front}") for front in ("RespFront", "admin")
 )
 START_S, STOP_S = 20.0, 10.0
+# Guards what can't see its input close: the kernel ends it should this process be killed.
+GUARD = ("setpriv", "--pdeathsig", "TERM") if shutil.which("setpriv") else ()
 TICK_S = 0.25  # between looks at the children and at the scheduler's memory
 TICKS = os.sysconf("SC_CLK_TCK")
 MOST_S = 300.0  # for one order, such as that thousands of clients come
@@ -219,11 +222,11 @@
         self.most_resident_mb = self.most_descriptors = 0.0
 
     async def start(self, name: str, *words: str, **environment: str) -> Child:
-        """Start a process; the kernel tells it to end should this one be killed."""
+        """Start a process."""
         log = self.folder / f"{name}.log"
         with open(log, "wb") as file:
             process = await anyio.open_process(
-                ["setpriv", "--pdeathsig", "TERM", sys.executable, "-m", *words],
+                [*GUARD, sys.executable, "-m", *words],
                 stdin=subprocess.PIPE,
                 stdout=subprocess.PIPE,
                 stderr=file,
@@ -359,7 +362,7 @@
         progress(f"{came['open']} of {carriers(sizes)} connections open, all had come in {came['s']:.2f} s")
         if sizes.statements:
             await made.ask(clients, do="load", rate=sizes.statements)
-            await made.wait(settling_s(sizes, limits))
+            await made.wait(settling_s(sizes, limits, in_turn))
         before, began = await made.ask(nodes, do="count"), time.monotonic()
         used, used_by_nodes = scheduler.cpu_s(), nodes.cpu_s()
         await made.ask(clients, do="mark")
@@ -391,9 +394,10 @@
     return figures
 
 
-def settling_s(sizes: Sizes, limits: Limits) -> float:
+def settling_s(sizes: Sizes, limits: Limits, in_turn: bool) -> float:
     """Say how long the load goes on before it is measured: longer than a rest where rests are ended."""
     closes = sizes.clients > int(limits.sockets * CROWD_PART) // 2
+    closes = closes or (sizes.clients > 0 and not in_turn)  # some rest longer than the mean
     closes = closes or sizes.clients / sizes.statements >= IDLE_NS / 1e9
     return IDLE_NS / 1e9 + SETTLE_S if closes else SETTLE_S
 
@@ -416,12 +420,12 @@
     began = time.monotonic()
     made.scheduler = await made.serve("scheduler", path)
     where = {"serve": await made.logged(made.scheduler, SERVING)}
+    if admin:  # what it loads for that comes behind the first listener, and is of the start too
+        where["admin"] = await made.logged(made.scheduler, ADMIN)
     figures = {
         "scheduler.start_s": time.monotonic() - began,
         "scheduler.start_cpu_s": made.scheduler.cpu_s(),
     }
-    if admin:
-        where["admin"] = await made.logged(made.scheduler, ADMIN)
     progress(f"scheduler (process {made.scheduler.process.pid}) serves before {sizes.nodes} nodes")
     return nodes, figures, where
 
@@ -556,6 +560,7 @@
         sizes = replace(FULL, clients=clients, statements=round(clients * RATE, 1))
         out.append(Part("clients-ask-in-turn", sizes))
         out.append(Part("clients-ask-by-lot", sizes, in_turn=False))
+    out.append(Part("clients-ask-in-turn-uncrowded", sizes, limits=UNCROWDED))
     for clients in (2000, 4000, 8222):
         out.append(Part("clients-rest", replace(FULL, clients=clients), rests=True))
     for clients in (500, 2000, 4000, 8222):
@@ -569,7 +574,11 @@
     result = result_from(output.read_text()) if output.exists() else Result("", seed, {})
     command = f"python -m runloft.lab.scale.datapath record --repeats {repeats} --seconds {seconds:g}"
     versions = {"runloft": __version__, "python": platform.python_version(), "anyio": version("anyio")}
-    result = replace(result, command=f"{command} --seed {seed}", versions=versions)
+    notes = (
+        "events are sizes under another condition than the points', which their names tell",
+        f"scheduler and stand-ins ran on {len(os.sched_getaffinity(0))} core(s) together",
+    )
+    result = replace(result, command=f"{command} --seed {seed}", versions=versions, notes=notes)
     chosen = [one for one in parts() if not only or one.name in only]
     names = {one.name for one in chosen} | ({"starts"} if not only or "starts" in only else set())
     kept = tuple(one for one in result.points if one.vary not in names)
