Join the capacity page with the data path's document; check clients' memory

Cause: the data path's document has come, in part: points by clients, rests and starts. It holds no slopes, and lines through crowded sizes miss their points. Change: points are fitted by the run's own fit where a document has no slopes; clients at rest and at work are fitted by their number; the page says where points lie off their line, and tells no sum that lacks a slope. config check warns where the program and its clients' connections (10 KiB, 36 or 58 MB) fill limits.memory_mb; a test holds these against the document.

--- a/runloft/config/operator.py
+++ b/runloft/config/operator.py
@@ -4,6 +4,7 @@
 import tomllib
 from collections.abc import Iterator, Mapping
 from dataclasses import dataclass
+from math import ceil
 from typing import Any
 
 import attrs
@@ -35,6 +36,9 @@
 IDLE_MS, CROWD_MS = 15_000.0, 2_000.0  # a client's rest, and beyond half of the crowd
 NODE_PARTS = {False: (2,), True: (4, 8)}  # with the object API off and on: each link's part of the rest
 OTHERS = 32  # descriptors that no client or node has
+# Measured (docs/capacity/datapath.json): the program's own memory, with an agreement or an admin listener, and
+# what a client's connection takes beside it.
+OWN_MB, WITH_TOOLS_MB, CLIENT_KB = 36.0, 58.0, 10.0
 CHANGE_MS = 10_000.0  # a change is to be in force everywhere within so long
 # What a change waits for where somebody is silent (docs/design/agreement.md): until the fence is over for
 # certain; then half a lease to its moment, an exchange, and a look of the tool's.
@@ -537,6 +541,12 @@
     elif clients >= crowd:
         reason = f"from {crowd} clients on some are closed to make room, and {clients} are expected"
         yield path, "sockets-below-clients", reason, f"at least {3 * fronts * (clients + 1)}", warning
+    own = WITH_TOOLS_MB if record.agreement or record.admin else OWN_MB
+    if clients and limits.memory_mb is not None and own + clients * CLIENT_KB / 1024 > limits.memory_mb:
+        held = clients * CLIENT_KB / 1024
+        reason = f"the program takes {own:g} MB, and {clients} clients' connections {held:.0f}"
+        right = f"at least {ceil(own + held)}, and what requests and buffers take"
+        yield ("limits", "memory_mb"), "memory-below-clients", reason, right, warning
     crowded = clients > crowd // 2
     patience = CROWD_MS if crowded else IDLE_MS
     if rest > patience:
--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -12,7 +12,18 @@
 from pathlib import Path
 from statistics import fmean, median
 
-from runloft.lab.scale.records import Point, Result, ResultError, Sizes, Slope, dimensions, result_from
+from runloft.lab.scale.fitting import slopes
+from runloft.lab.scale.records import (
+    Event,
+    Point,
+    Result,
+    ResultError,
+    Sizes,
+    Slope,
+    dimensions,
+    named,
+    result_from,
+)
 from runloft.lab.scale.roles import (
     BESIDE,
     BUDGETS,
@@ -36,6 +47,8 @@
 FORCE = "all_in_force_s"
 NEVER = "NOT reached"
 AT_WORK = "clients-ask-by-lot"  # one scheduler with all its clients and their statements
+# Events that are measured at several sizes: dimension, and what is put before their figures' names.
+FITTED = {"clients-rest-uncrowded": ("clients", "rest"), AT_WORK: ("clients", "work")}
 ENOUGH = 0.99  # part of what has to be there that counts as all of it
 NOTICED = 0.1  # part of a figure from which on it is said to grow with a size
 GUESS_PART = 0.01  # part of a figure from which on a guessed size makes it a guess
@@ -78,6 +91,7 @@
     reach: dict[str, float]  # the largest size measured, of each dimension that counts
     measured: tuple[float, int] | None  # mean and number of points, where there are some at this size
     bends: bool  # grows faster than its line within what was measured
+    misses: float  # how far points lie off the lines: the largest root of a mean square
 
     @property
     def total(self) -> float:
@@ -88,7 +102,9 @@
         """Give so many of it."""
         measured = (self.measured[0] * factor, self.measured[1]) if self.measured else None
         terms = tuple(replace(term, slope=term.slope * factor) for term in self.terms)
-        return replace(self, constant=self.constant * factor, terms=terms, measured=measured)
+        return replace(
+            self, constant=self.constant * factor, terms=terms, measured=measured, misses=self.misses * factor
+        )
 
     def __add__(self, other: "Estimate") -> "Estimate":
         """Add another figure at the same size."""
@@ -104,21 +120,30 @@
             for vary in self.reach.keys() | other.reach.keys()
         }
         constant, bends = self.constant + other.constant, self.bends or other.bends
-        return Estimate(constant, tuple(terms.values()), reach, measured, bends)
+        misses = self.misses + other.misses
+        return Estimate(constant, tuple(terms.values()), reach, measured, bends, misses)
 
 
 class Figures:
     """The figures of one document at any size."""
 
     def __init__(self, result: Result | None) -> None:
-        self.result = result
+        self.points, self.at_work = list(result.points) if result else [], list[Event]()
+        lines = list(result.slopes) if result else []
+        if not lines:  # the document holds its points alone
+            lines += slopes(self.points)
+        for name, (vary, prefix) in FITTED.items():
+            some = [one for one in (result.events if result else ()) if one.name == name]
+            made = [Point(vary, e.sizes, e.repeat, 0.0, named(e.figures, prefix)) for e in some]
+            self.points += made
+            lines += slopes(made)
+            self.at_work += some if name == AT_WORK else []
         self.slopes: dict[str, dict[str, Slope]] = {}
-        for slope in result.slopes if result else ():
-            self.slopes.setdefault(slope.figure, {})[slope.vary] = slope
+        for line in lines:
+            self.slopes.setdefault(line.figure, {})[line.vary] = line
 
     def _points(self, figure: str, vary: str) -> list[Point]:
-        points = self.result.points if self.result else ()
-        return [one for one in points if one.vary == vary and figure in one.figures]
+        return [one for one in self.points if one.vary == vary and figure in one.figures]
 
     def _counts(self, slope: Slope, points: Sequence[Point]) -> bool:
         """Say whether a slope shows above what repeats of one size differ by."""
@@ -128,12 +153,12 @@
     def at(self, figure: str, sizes: Sizes) -> Estimate | None:
         """Give a figure at a size; None where no slope of it was measured."""
         known = [self.slopes.get(figure, {}).get(vary) for vary in dimensions()]
-        slopes = [slope for slope in known if slope is not None]
-        if not slopes:
+        lines = [slope for slope in known if slope is not None]
+        if not lines:
             return None
-        points = {slope.vary: self._points(figure, slope.vary) for slope in slopes}
-        counted = [slope for slope in slopes if self._counts(slope, points[slope.vary])]
-        first = (counted or slopes)[0]
+        points = {slope.vary: self._points(figure, slope.vary) for slope in lines}
+        counted = [slope for slope in lines if self._counts(slope, points[slope.vary])]
+        first = (counted or lines)[0]
         there = points[first.vary]
         # The line of the first dimension passes through the other sizes as they were while it was measured.
         base = there[0].sizes if there else Sizes()
@@ -151,14 +176,15 @@
             if points[slope.vary]
         }
         bends = any(_bends(figure, slope, points[slope.vary]) for slope in counted)
-        return Estimate(constant, tuple(terms), reach, self._measured(figure, sizes, counted), bends)
+        misses = max(slope.residual for slope in counted) if counted else 0.0
+        return Estimate(constant, tuple(terms), reach, self._measured(figure, sizes, counted), bends, misses)
 
     def _measured(self, figure: str, sizes: Sizes, counted: Sequence[Slope]) -> tuple[float, int] | None:
         wanted = [(slope.vary, float(getattr(sizes, slope.vary))) for slope in counted]
-        if self.result is None or not wanted:
+        if not wanted:
             return None
         # One scheduler with all its clients and their statements, rather than points where either is missing.
-        for some in ([one for one in self.result.events if one.name == AT_WORK], self.result.points):
+        for some in (self.at_work, self.points):
             there = [
                 one.figures[figure]
                 for one in some
@@ -236,7 +262,9 @@
             sizes = replace(sizes, clients=0, statements=0.0)
         got = [self.figures[document or row.document].at(figure, sizes) for figure in row.figures]
         known = [one for one in got if one is not None]
-        if len(known) < len(got):
+        figures = self.figures[document or row.document]
+        lacks = any(not figures.slopes.get(one, {}).keys() >= set(row.needs) for one in row.figures)
+        if lacks or len(known) < len(got):
             return None
         total = known[0]
         for one in known[1:]:
@@ -266,7 +294,9 @@
         text = ", ".join(words) or "constant"
         if own and any(term.vary == "schedulers" for term in some):
             text += " (quadratic over all)"
-        return text + (", faster than its line" if found.bends else "")
+        text += ", faster than its line" if found.bends else ""
+        far = found.misses > NOTICED * abs(found.total)
+        return text + (f", points lie {number(found.misses)} off the line" if far else "")
 
     def _budget(self, row: Row, sizes: Sizes) -> Budget | None:
         if row.budget is None:
@@ -418,7 +448,8 @@
                 lines.append((f"capacity/{name}.json", MISSING, "", "", "", ""))
                 continue
             versions = ", ".join(f"{key} {value}" for key, value in sorted(one.versions.items()))
-            counts = f"{len(one.points)} points, {len(one.slopes)} slopes, {len(one.events)} events"
+            lines_ = f"{len(one.slopes)} slopes" if one.slopes else "slopes are fitted here"
+            counts = f"{len(one.points)} points, {lines_}, {len(one.events)} events"
             missing = "; ".join(one.missing) or "nothing"
             lines.append(
                 (f"capacity/{name}.json", f"`{one.command}`", str(one.seed), versions, counts, missing)
--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -9,7 +9,8 @@
 from math import ceil, exp
 
 from runloft.accounts.ledger import MOST_VOLUMES
-from runloft.config.settings import MEMORY_MB
+from runloft.config.operator import BEHIND_FENCE, CHANGE_MS, CLIENT_KB, FENCE_OVER, WITH_TOOLS_MB
+from runloft.config.settings import MEMORY_MB, AgreementSettings
 from runloft.core.model import Bounds
 from runloft.fronts.accepting import CLIENT_PART, CROWD_PART
 from runloft.fronts.resp import CROWD_NS, IDLE_NS
@@ -19,6 +20,7 @@
 
 REGIONS, ZONES = 2, 7
 CHANGES_A_DAY = 540
+LEASE_S = AgreementSettings("", "").lease_ns / 1e9  # where the file names none
 SCRAPE_S = 15.0  # between two scrapes; a guess
 DAY = Sizes(
     schedulers=450, nodes=820, clients=8222, statements=644.0, volumes=820, changes=CHANGES_A_DAY / 24
@@ -70,10 +72,11 @@
     every: float = 1.0
     guessed: bool = False  # ``every`` is a guess
     alone: bool = False  # without clients and their statements
+    needs: tuple[str, ...] = ()  # sizes without whose slopes it would be told too low
 
 
 WATCH = "net/discovery.py: watch, a long-lived stream of changes, resumed by index"
-HEARTBEAT = "net/agreeing.py, sharing/agreement.py: lease, heartbeat"
+HEARTBEAT = "net/agreeing.py, sharing/agreement.py: leases with fencing, renewed by heartbeats"
 LOOP = "net/runner.py, core/reducer.py: event loop on one thread"
 FRONT = "fronts/accepting.py, fronts/resp.py: one task a connection"
 POOL = "net/links.py: connection pool"
@@ -84,18 +87,23 @@
 MACHINE = "the machine"
 AGREEMENT = "scheduler.agreement."
 ROWS = (
-    Row("path", "processor", ("scheduler.cpu",), "datapath", "thread", LOOP, "answers miss their deadline"),
-    Row("path", "memory", ("scheduler.resident_mb",), "datapath", "memory", FRONT,
+    Row("path", "processor, clients at work", ("work.scheduler.cpu",), "datapath", "thread", LOOP,
+        "answers miss their deadline"),
+    Row("path", "processor, by its parts", ("scheduler.cpu",), "datapath", "thread", LOOP,
+        "answers miss their deadline", needs=("clients", "statements")),
+    Row("path", "memory, clients at rest", ("rest.scheduler.resident_mb",), "datapath", "memory", FRONT,
         "the machine's limit: idle clients' memory is not counted"),
-    Row("path", "descriptors", ("scheduler.descriptors_count",), "datapath", "descriptors", FRONT,
+    Row("path", "memory, clients at work", ("work.scheduler.resident_mb",), "datapath", "memory", FRONT,
+        "the machine's limit: idle clients' memory is not counted"),
+    Row("path", "descriptors", ("work.scheduler.descriptors_count",), "datapath", "descriptors", FRONT,
         "idle clients go, then calls wait in the kernel"),
-    Row("path", "clients open", ("scheduler.clients_open_count",), "datapath", "clients", FRONT,
+    Row("path", "clients open", ("work.scheduler.clients_open_count",), "datapath", "clients", FRONT,
         "clients are closed and connect again"),
-    Row("path", "clients closed", ("scheduler.client_closes_per_s",), "datapath", None,
+    Row("path", "clients closed", ("work.scheduler.client_closes_per_s",), "datapath", None,
         "fronts/resp.py: idle timeout", "each connects again"),
-    Row("path", "clients connecting", ("scheduler.client_connects_per_s",), "datapath", None,
+    Row("path", "clients connecting", ("work.scheduler.client_connects_per_s",), "datapath", None,
         "fronts/accepting.py: listen backlog", "the backlog of 1,024"),
-    Row("path", "connections to nodes", ("scheduler.node_connections_count",), "datapath", None, POOL,
+    Row("path", "connections to nodes", ("work.scheduler.node_connections_count",), "datapath", None, POOL,
         "an attempt waits for one, 5 ms at a time"),
     Row("path", "start, processor", ("scheduler.start_cpu_s",), "datapath", None, "cli.py: start",
         "many starts on one machine"),
@@ -139,10 +147,10 @@
     Row("nodes", "processor, all nodes", ("node.cpu",), "datapath", None, POOL, "what clients ask for"),
     Row("nodes", "bytes in, all nodes", ("node.in_bytes_per_s",), "datapath", None, POOL,
         "what clients ask for"),
-    Row("clients", "answered", ("client.answered_share",), "datapath", None, FRONT, "refusals"),
-    Row("clients", "refused", ("client.refused_share",), "datapath", None,
+    Row("clients", "answered", ("work.client.answered_share",), "datapath", None, FRONT, "refusals"),
+    Row("clients", "refused", ("work.client.refused_share",), "datapath", None,
         "decisions/policy.py: admission control", "more refusals"),
-    Row("clients", "99th percentile", ("client.p99_ms",), "datapath", None, LOOP, "late turns"),
+    Row("clients", "99th percentile", ("work.client.p99_ms",), "datapath", None, LOOP, "late turns"),
     Row("tool", "processor", ("tool.cpu_s",), "full", None, TOOL, "the time a change may take"),
     Row("tool", "bytes in", ("tool.in_bytes",), "full", None, TOOL, "the time a change may take"),
     Row("tool", "bytes out", ("tool.out_bytes",), "full", None, TOOL, "the time a change may take"),
@@ -176,10 +184,10 @@
 EVENTS: Mapping[str, EventKind] = {
     "change": EventKind("a change of configuration", f"{CHANGES_A_DAY} a day", TOOL, "the store", ROLLED),
     "change-one-dead": EventKind(
-        "a change, one scheduler dead", "2 machines fail a day", TOOL, "a lease has to run out", ROLLED
+        "a change, one scheduler dead", "2 machines fail a day", TOOL, "the dead one's fence", ROLLED
     ),
     "change-rack-dead": EventKind(
-        "a change, a rack of 40 dead", "every month or two", TOOL, "a lease has to run out", ROLLED
+        "a change, a rack of 40 dead", "every month or two", TOOL, "the dead one's fence", ROLLED
     ),
     "change-of-primary": EventKind(
         "a change of primary", "2 a day", WATCH, "discovery", {"all_in_force_s": "primary"} | NETWORK
@@ -292,6 +300,8 @@
 def settings_needed(sizes: Sizes) -> tuple[Need, ...]:
     """Say what one scheduler's settings have to be at this size, and what the fixed times do to clients."""
     rest_s = sizes.clients / sizes.statements
+    own_mb = WITH_TOOLS_MB + sizes.clients * CLIENT_KB / 1024
+    change = 2 * FENCE_OVER + BEHIND_FENCE  # in leases, with a fence of two
     idle_s, crowd_s = IDLE_NS / 1e9, CROWD_NS / 1e9
     crowd, front = CROWD_PART, "fronts/accepting.py, fronts/resp.py"
     return (
@@ -310,4 +320,10 @@
              "the same, beyond a sixth of limits.sockets", "g"),
         Need("a node connection's mean rest, s", sizes.nodes / sizes.statements,
              f"nodes / statements; idle ones are closed after {IDLE_PART:g} of ConnIdle"),
+        Need("limits.memory_mb: the program and its clients", own_mb,
+             f"config/operator.py: {CLIENT_KB:g} KiB a client, {WITH_TOOLS_MB:g} MB without any"),
+        Need("agreement.lease_ms: at most, with a fence of two", CHANGE_MS / change,
+             f"config/operator.py: {CHANGE_MS / 1e3:g} s for a change while one is silent"),
+        Need(f"a change with a lease of {LEASE_S:g} s, one silent, s", LEASE_S * change,
+             "the fence and a sixteenth, half a lease, an exchange, a look"),
     )  # fmt: skip
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -34,6 +34,12 @@
     return points, [Slope(vary, figure, slope, constant, 0.0, spread, len(points))]
 
 
+def at_work(figure, slope):
+    """Make one scheduler's events with clients at work."""
+    sizes = [replace(DAY, clients=clients, statements=clients / 12.8) for clients in (500, 8000)]
+    return [Event("clients-ask-by-lot", one, 0, {figure: slope * one.clients}) for one in sizes]
+
+
 def document(*lines, events=()):
     points = [point for some, _ in lines for point in some]
     return Result("made up", 1, {}, tuple(points), tuple(s for _, some in lines for s in some), tuple(events))
@@ -65,6 +71,8 @@
 
 def test_the_committed_slopes_are_those_of_their_points():
     for name, document in documents_of(PAGE.parent / "capacity").items():
+        if not document.slopes:  # the page fits them itself, by the same lines
+            continue
         again = {(s.vary, s.figure): s for s in slopes(document.points)}
         assert again.keys() == {(s.vary, s.figure) for s in document.slopes}, name
         for one in document.slopes:
@@ -95,6 +103,19 @@
     assert cells[1:3] == ["150 w", "150 B/s w"] and cells[5] == "constant"
 
 
+def test_points_alone_are_fitted_as_the_run_itself_fits_them():
+    bare = replace(FULL, slopes=())
+    wants = row(Page({"full": FULL}).tables(), "day-control", "watch and agreement, processor")
+    assert row(Page({"full": bare}).tables(), "day-control", "watch and agreement, processor") == wants
+
+
+def test_points_far_off_their_line_are_told_of():
+    full = document(line("schedulers", BYTES, 1.0, 0.0, (50, 450)))
+    far = tuple(replace(one, residual=60.0) for one in full.slopes)
+    cells = row(Page({"full": replace(full, slopes=far)}).tables(), "day-control", "watch, bytes in")
+    assert cells[5].endswith("points lie 60 off the line")
+
+
 def test_what_grows_faster_than_its_line_is_told():
     full = document(line("schedulers", BYTES, 1.0, 0.0, (50, 150, 450)))
     bent = [
@@ -124,7 +145,7 @@
 
 
 def test_after_a_loss_each_that_is_left_has_more_clients():
-    path = document(line("clients", "scheduler.clients_open_count", 1.0, 0.0, (0, 8000)))
+    path = document(events=at_work("scheduler.clients_open_count", 1.0))
     for table, wants in (("day-path", "8,222"), ("zone-away", "9,600"), ("region-away", "16,500")):
         cells = row(Page({"datapath": path}).tables(), table, "clients open")
         assert cells[2] == f"{wants} w" and cells[6:8] == [f"{wants} given", "100% w"]
@@ -145,7 +166,7 @@
 
 
 def test_clients_that_are_not_there_are_short_of_what_there_has_to_be():
-    path = document(line("clients", "scheduler.clients_open_count", 0.9, 0.0, (0, 8000)))
+    path = document(events=at_work("scheduler.clients_open_count", 0.9))
     assert {used for _, _, used, _ in Page({"datapath": path}).over()} == {"90% SHORT w"}
 
 
@@ -175,9 +196,12 @@
         events=[*busy, Event("starts:platform", DAY, 0, {"scheduler.start_s": 0.4})],
     )
     tables = Page({"datapath": path}).tables()
-    assert row(tables, "day-path", "processor")[2:4] == ["0.5042 cores w", "0.55 cores m (2)"]
+    assert row(tables, "day-path", "processor, by its parts")[2:4] == ["0.5042 cores w", "0.55 cores m (2)"]
     cells = row(tables, "path-together", "by lot")
     assert cells[1:3] == ["8,222", "644"] and cells[6] == "0.55 (0.5 to 0.6) cores m"
+    # Half of the slopes would tell too little.
+    half = replace(path, slopes=path.slopes[:1], points=path.points[:4])
+    assert row(Page({"datapath": half}).tables(), "day-path", "processor, by its parts")[2] == MISSING
     assert row(tables, "path-starts", "platform")[1] == "0.4 s m"
 
 
--- a/tests/test_configs.py
+++ b/tests/test_configs.py
@@ -17,6 +17,7 @@
 from runloft.fronts import objects as objects_front
 from runloft.fronts import resp
 from runloft.fronts.accepting import AcceptingFront
+from runloft.lab.scale.records import result_from
 from runloft.net import links
 
 HERE = Path(__file__).parent / "configs"
@@ -120,6 +121,24 @@
     assert operator.IDLE_MS == objects_front.IDLE_S * 1e3
 
 
+def test_the_memory_that_is_checked_is_no_less_than_what_was_measured():
+    path = HERE.parent.parent / "docs" / "capacity" / "datapath.json"
+    events = result_from(path.read_text()).events
+    rests = [one for one in events if one.name == "clients-rest-uncrowded"]
+    used = [
+        (e.figures["scheduler.resident_mb"] - e.figures["scheduler.before.resident_mb"]) / e.sizes.clients
+        for e in rests
+    ]
+    assert operator.CLIENT_KB * 0.9 < max(used) * 1024 <= operator.CLIENT_KB
+    starts = [one for one in events if one.name.startswith("starts:")]
+    for most, some in (
+        (operator.OWN_MB, ("starts:platform", "starts:operator")),
+        (operator.WITH_TOOLS_MB, [one.name for one in starts]),
+    ):
+        own = [one.figures["scheduler.resident_mb"] for one in starts if one.name in some]
+        assert most * 0.9 < max(own) <= most
+
+
 AGREEMENT = '\n[agreement]\nstore = "redis://127.0.0.1:6380/0"\ndirectory = "/var/lib/runloft"\n'
 
 
