--- a/runloft/config/operator.py
+++ b/runloft/config/operator.py
@@ -36,8 +36,8 @@
 IDLE_MS, CROWD_MS = 15_000.0, 2_000.0  # a client's rest, and beyond half of the crowd
 NODE_PARTS = {False: (2,), True: (4, 8)}  # with the object API off and on: each link's part of the rest
 OTHERS = 32  # descriptors that no client or node has
-# Measured (docs/capacity/datapath.json): the program's own memory, that with an agreement or an admin listener,
-# and what a client's connection takes beside it.
+# Measured (docs/capacity/datapath.json): the program's own memory, that with an agreement or an admin
+# listener, and what a client's connection takes beside it.
 OWN_MB, WITH_TOOLS_MB, CLIENT_KB = 36.0, 58.0, 10.0
 CHANGE_MS = 10_000.0  # a change is to be in force everywhere within so long
 # What a change waits for where somebody is silent (docs/design/agreement.md): until the fence is over for
