--- a/runloft/lab/scale/commands.py
+++ b/runloft/lab/scale/commands.py
@@ -12,10 +12,10 @@
 
 from runloft.config.commands import misused, table
 from runloft.lab.scale.bounds import lacking, machine
-from runloft.lab.scale.engine import DATA_PATH, Order, Run, sized
+from runloft.lab.scale.engine import DATA_PATH, Order, Run, joined, sized
 from runloft.lab.scale.events import EVENTS
 from runloft.lab.scale.fleet import Setup
-from runloft.lab.scale.records import Result, Sizes, dimensions
+from runloft.lab.scale.records import Result, ResultError, Sizes, dimensions, result_from
 
 
 class UsageError(ValueError):
@@ -28,8 +28,14 @@
         order = order_of(options)
     except UsageError as error:
         return misused(str(error))
-    ran = anyio.run(_run, order)
-    result = ran.result()
+    old = None
+    if options.append and options.output and Path(options.output).exists():
+        try:
+            old = result_from(Path(options.output).read_text())
+        except ResultError as error:
+            return misused(f"--append: {options.output}: {error}")
+    result = anyio.run(_run, order)
+    result = joined(old, result) if old else result
     if options.output:
         Path(options.output).write_text(result.dump())
     tables(result)
@@ -42,10 +48,8 @@
     return 1 if result.missing else 0
 
 
-async def _run(order: Order) -> Run:
-    ran = Run(order)
-    await ran.run()
-    return ran
+async def _run(order: Order) -> Result:
+    return await Run(order).run()
 
 
 def order_of(options: argparse.Namespace) -> Order:
--- a/runloft/lab/scale/engine.py
+++ b/runloft/lab/scale/engine.py
@@ -4,6 +4,7 @@
 import signal
 import tempfile
 import time
+from collections import Counter
 from collections.abc import Sequence
 from dataclasses import dataclass, field, replace
 from importlib.metadata import PackageNotFoundError, version
@@ -194,6 +195,27 @@
                     self.missing.append(f"{name}, repeat {repeat}: {self.why}")
 
 
+def joined(old: Result, new: Result) -> Result:
+    """Put two runs into one document: the later one's points and events are further repeats."""
+    had_points = Counter((one.vary, one.sizes) for one in old.points)
+    had_events = Counter((one.name, one.sizes) for one in old.events)
+    points = old.points + tuple(
+        replace(one, repeat=one.repeat + had_points[one.vary, one.sizes]) for one in new.points
+    )
+    events = old.events + tuple(
+        replace(one, repeat=one.repeat + had_events[one.name, one.sizes]) for one in new.events
+    )
+    return replace(
+        new,
+        command=f"{old.command} && {new.command}",
+        points=points,
+        slopes=slopes(points),
+        events=events,
+        missing=old.missing + new.missing,
+        notes=old.notes + new.notes,
+    )
+
+
 def leaves(error: BaseException) -> Sequence[BaseException]:
     """Give the errors that a group holds."""
     if not isinstance(error, BaseExceptionGroup):
--- a/runloft/lab/scale/options.py
+++ b/runloft/lab/scale/options.py
@@ -50,6 +50,7 @@
     scale.add_argument("--cut-s", type=float, default=120.0, help="that regions are parted (default 120)")
     scale.add_argument("--deadline-s", type=float, default=1800.0, help="for all of it (default 1800)")
     scale.add_argument("--output", metavar="FILE", help="write the result as JSON, partial ones too")
+    scale.add_argument("--append", action="store_true", help="keep what --output holds already, as repeats")
     scale.add_argument("--plot", metavar="FILE", help="draw figures by size (PNG, SVG)")
 
 
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -232,6 +232,23 @@
     assert result.missing == ("clients=8, repeat 0: SizeError: 8 clients are too many",)
 
 
+def test_a_later_run_is_kept_as_further_repeats_of_an_earlier_one(tmp_path, monkeypatch, capsys):
+    values = iter((1.0, 3.0, 2.0, 4.0))
+
+    async def measure(sizes, setup, folder):
+        return 1.0, {"store.cpu": next(values)}
+
+    monkeypatch.setattr("runloft.lab.scale.engine.measure", measure)
+    path = tmp_path / "r.json"
+    arguments = ["lab", "scale", "--vary", "schedulers=2,3", "--output", str(path), "--append"]
+    assert main(arguments) == 0 == main(arguments)
+    result = result_from(path.read_text())
+    assert [(one.sizes.schedulers, one.repeat) for one in result.points] == [(2, 0), (3, 0), (2, 1), (3, 1)]
+    assert (result.slopes[0].slope, result.slopes[0].spread) == (pytest.approx(2.0), 1.0)
+    path.write_text("{}")
+    assert main(arguments) == 2 and "no scale run's result" in capsys.readouterr().err
+
+
 def test_an_interrupt_keeps_what_there_is_and_leaves_nothing_running(tmp_path):
     path = tmp_path / "r.json"
     command = [sys.executable, "-m", "runloft", "lab", "scale", "--vary", "schedulers=2", "--seconds", "60"]
