Join the capacity page with the whole record of the data path

Cause: lines of several sizes don't meet in one point (a scheduler under 100 statements a second takes 0.12 cores, under 644 0.33, under none 0.001); a figure that never changes had a slope of rounding.

--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -50,6 +50,7 @@
 # Events that are measured at several sizes: dimension, and what is put before their figures' names.
 FITTED = {"clients-rest-uncrowded": ("clients", "rest"), AT_WORK: ("clients", "work")}
 ENOUGH = 0.99  # part of what has to be there that counts as all of it
+ROUNDING = 1e-9  # of a figure: no slope is made of less
 NOTICED = 0.1  # part of a figure from which on it is said to grow with a size
 GUESS_PART = 0.01  # part of a figure from which on a guessed size makes it a guess
 BENDS = 1.5  # the last slope between two sizes by the first
@@ -148,7 +149,10 @@
     def _counts(self, slope: Slope, points: Sequence[Point]) -> bool:
         """Say whether a slope shows above what repeats of one size differ by."""
         sizes = [float(getattr(one.sizes, slope.vary)) for one in points]
-        return not sizes or abs(slope.slope) * (max(sizes) - min(sizes)) > slope.spread
+        if not sizes:
+            return True
+        values = [abs(one.figures[slope.figure]) for one in points]
+        return abs(slope.slope) * (max(sizes) - min(sizes)) > max(slope.spread, ROUNDING * max(values))
 
     def at(self, figure: str, sizes: Sizes) -> Estimate | None:
         """Give a figure at a size; None where no slope of it was measured."""
@@ -158,18 +162,8 @@
             return None
         points = {slope.vary: self._points(figure, slope.vary) for slope in lines}
         counted = [slope for slope in lines if self._counts(slope, points[slope.vary])]
-        first = (counted or lines)[0]
-        there = points[first.vary]
-        # The line of the first dimension passes through the other sizes as they were while it was measured.
-        base = there[0].sizes if there else Sizes()
-        constant = first.intercept
-        if not counted:
-            constant += first.slope * (fmean(float(getattr(p.sizes, first.vary)) for p in there))
-        terms = []
-        for slope in counted:
-            terms.append(Term(slope.vary, slope.slope, float(getattr(sizes, slope.vary))))
-            if slope is not first:
-                constant -= slope.slope * float(getattr(base, slope.vary))
+        terms = tuple(Term(one.vary, one.slope, float(getattr(sizes, one.vary))) for one in counted)
+        constant = max(self._constant(one, counted, points[one.vary]) for one in counted or lines[:1])
         reach = {
             slope.vary: max(float(getattr(one.sizes, slope.vary)) for one in points[slope.vary])
             for slope in counted
@@ -177,7 +171,18 @@
         }
         bends = any(_bends(figure, slope, points[slope.vary]) for slope in counted)
         misses = max(slope.residual for slope in counted) if counted else 0.0
-        return Estimate(constant, tuple(terms), reach, self._measured(figure, sizes, counted), bends, misses)
+        return Estimate(constant, terms, reach, self._measured(figure, sizes, counted), bends, misses)
+
+    def _constant(self, line: Slope, counted: Sequence[Slope], points: Sequence[Point]) -> float:
+        """Give what the terms are added to, so that the sum is this line where the line was measured.
+
+        Lines of several sizes seldom meet in one point; that which comes to most is gone by.
+        """
+        if line not in counted:
+            return line.intercept + line.slope * fmean(float(getattr(p.sizes, line.vary)) for p in points)
+        base = points[0].sizes if points else Sizes()
+        others = (one for one in counted if one is not line)
+        return line.intercept - sum(one.slope * float(getattr(base, one.vary)) for one in others)
 
     def _measured(self, figure: str, sizes: Sizes, counted: Sequence[Slope]) -> tuple[float, int] | None:
         wanted = [(slope.vary, float(getattr(sizes, slope.vary))) for slope in counted]
--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -269,7 +269,7 @@
 STATE = (
     Held("scheduler, data path", "client connections", 1, "clients", FRONT, "in own clients"),
     Held("scheduler, data path", "nodes", 1, "nodes", "core/reducer.py: table by number", "in nodes"),
-    Held("scheduler, data path", "idle connections to one node at least", 1, "nodes", POOL, "in nodes"),
+    Held("scheduler, data path", "connections to nodes, one to each", 1, "nodes", POOL, "in nodes"),
     Held("scheduler, data path", "open requests at most", Bounds().requests, None,
          "config/settings.py: bounds", "constant"),
     Held("scheduler, watch", "connections", 1, None, WATCH, "constant"),
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -103,6 +103,15 @@
     assert cells[1:3] == ["150 w", "150 B/s w"] and cells[5] == "constant"
 
 
+def test_of_lines_that_do_not_meet_that_which_comes_to_most_is_gone_by():
+    path = document(
+        line("clients", "scheduler.cpu", 1e-5, 0.0, (0, 8000)),
+        line("statements", "scheduler.cpu", 5e-4, 0.1, (100, 600)),
+    )
+    cells = row(Page({"datapath": path}).tables(), "day-path", "processor, by its parts")
+    assert cells[1].endswith("+ 0.1 w") and cells[2] == "0.5042 cores w"
+
+
 def test_points_alone_are_fitted_as_the_run_itself_fits_them():
     bare = replace(FULL, slopes=())
     wants = row(Page({"full": FULL}).tables(), "day-control", "watch and agreement, processor")
