--- a/runloft/lab/scale/commands.py
+++ b/runloft/lab/scale/commands.py
@@ -4,7 +4,7 @@
 import shlex
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -73,7 +73,7 @@
     )
     order = Order(
         setup, base, vary, events, options.repeats, options.deadline_s,
-        shlex.join(["runloft", *sys.argv[1:]]),
+        told(sys.argv[1:]),
     )  # fmt: skip
     here = machine()
     wanted = [(f"{name}={getattr(sizes, name):g}", sizes) for name, sizes in order.sizes()]
@@ -86,6 +86,18 @@
     return order
 
 
+def told(arguments: Sequence[str]) -> str:
+    """Give the command that makes the same measurements, wherever its results are put."""
+    kept: list[str] = []
+    skip = False
+    for one in arguments:
+        places = one.split("=")[0] in ("--output", "--plot")
+        if not skip and not places and one != "--append":
+            kept.append(one)
+        skip = places and "=" not in one
+    return shlex.join(["runloft", *kept])
+
+
 def _sizes(text: str) -> tuple[str, tuple[float, ...]]:
     """Read ``dimension=size,...``."""
     name, mark, values = text.partition("=")
--- a/tests/test_scale.py
+++ b/tests/test_scale.py
@@ -17,6 +17,7 @@
 from runloft.lab.redis import RedisStandIn
 from runloft.lab.scale import datapath
 from runloft.lab.scale.bounds import Machine, lacking
+from runloft.lab.scale.commands import told
 from runloft.lab.scale.engine import Order, Run
 from runloft.lab.scale.events import EVENTS, timed
 from runloft.lab.scale.fitting import quantile, slopes
@@ -249,6 +250,22 @@
     assert main(arguments) == 2 and "no scale run's result" in capsys.readouterr().err
 
 
+def test_the_command_that_is_kept_says_what_was_measured_and_not_where_it_lies():
+    arguments = [
+        "lab",
+        "scale",
+        "--output",
+        "a/b",
+        "--seed",
+        "2",
+        "--plot=x",
+        "--append",
+        "--vary",
+        "nodes=1,2",
+    ]
+    assert told(arguments) == "runloft lab scale --seed 2 --vary nodes=1,2"
+
+
 def test_an_interrupt_keeps_what_there_is_and_leaves_nothing_running(tmp_path):
     path = tmp_path / "r.json"
     command = [sys.executable, "-m", "runloft", "lab", "scale", "--vary", "schedulers=2", "--seconds", "60"]
