--- a/runloft/lab/scale/commands.py
+++ b/runloft/lab/scale/commands.py
@@ -4,7 +4,7 @@
 import shlex
 import sys
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 from dataclasses import replace
 from pathlib import Path
 
@@ -12,10 +12,10 @@
 
 from runloft.config.commands import misused, table
 from runloft.lab.scale.bounds import lacking, machine
-from runloft.lab.scale.engine import DATA_PATH, Order, Run, sized
+from runloft.lab.scale.engine import DATA_PATH, Order, Run, joined, sized
 from runloft.lab.scale.events import EVENTS
 from runloft.lab.scale.fleet import Setup
-from runloft.lab.scale.records import Result, Sizes, dimensions
+from runloft.lab.scale.records import Result, ResultError, Sizes, dimensions, result_from
 
 
 class UsageError(ValueError):
@@ -28,8 +28,14 @@
         order = order_of(options)
     except UsageError as error:
         return misused(str(error))
-    ran = anyio.run(_run, order)
-    result = ran.result()
+    old = None
+    if options.append and options.output and Path(options.output).exists():
+        try:
+            old = result_from(Path(options.output).read_text())
+        except ResultError as error:
+            return misused(f"--append: {options.output}: {error}")
+    result = anyio.run(_run, order)
+    result = joined(old, result) if old else result
     if options.output:
         Path(options.output).write_text(result.dump())
     tables(result)
@@ -42,10 +48,8 @@
     return 1 if result.missing else 0
 
 
-async def _run(order: Order) -> Run:
-    ran = Run(order)
-    await ran.run()
-    return ran
+async def _run(order: Order) -> Result:
+    return await Run(order).run()
 
 
 def order_of(options: argparse.Namespace) -> Order:
@@ -69,7 +73,7 @@
     )
     order = Order(
         setup, base, vary, events, options.repeats, options.deadline_s,
-        shlex.join(["runloft", *sys.argv[1:]]),
+        told(sys.argv[1:]),
     )  # fmt: skip
     here = machine()
     wanted = [(f"{name}={getattr(sizes, name):g}", sizes) for name, sizes in order.sizes()]
@@ -82,6 +86,18 @@
     return order
 
 
+def told(arguments: Sequence[str]) -> str:
+    """Give the command that makes the same measurements, wherever its results are put."""
+    kept: list[str] = []
+    skip = False
+    for one in arguments:
+        places = one.split("=")[0] in ("--output", "--plot")
+        if not skip and not places and one != "--append":
+            kept.append(one)
+        skip = places and "=" not in one
+    return shlex.join(["runloft", *kept])
+
+
 def _sizes(text: str) -> tuple[str, tuple[float, ...]]:
     """Read ``dimension=size,...``."""
     name, mark, values = text.partition("=")
