Set the agreement that stood before beside the one that is, events too

Cause: its document has come; the page worked a change's longest time out by a fence of two leases, which is one and a half now. Change: the table of before and now has the events, and says where a figure rose faster than its line; times follow the program's own fence.

--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -46,6 +46,7 @@
 MISSING = "not measured"
 FORCE = "all_in_force_s"
 NEVER = "NOT reached"
+FASTER = ", faster than its line"
 AT_WORK = "clients-ask-by-lot"  # one scheduler with all its clients and their statements
 # Events that are measured at several sizes: dimension, and what is put before their figures' names.
 FITTED = {"clients-rest-uncrowded": ("clients", "rest"), AT_WORK: ("clients", "work")}
@@ -299,7 +300,7 @@
         text = ", ".join(words) or "constant"
         if own and any(term.vary == "schedulers" for term in some):
             text += " (quadratic over all)"
-        text += ", faster than its line" if found.bends else ""
+        text += FASTER * found.bends
         far = found.misses > NOTICED * abs(found.total)
         return text + (f", points lie {number(found.misses)} off the line" if far else "")
 
@@ -438,11 +439,14 @@
         for row in (row for row in ROWS if row.document == "full"):
             old, new = (self.estimate(row, DAY, name) for name in ("before", "full"))
             cells = [
-                f"{self._slopes(row, one)} = {self._total(row, one)}" if one else MISSING
+                f"{self._slopes(row, one)} = {self._total(row, one)}{FASTER * one.bends}" if one else MISSING
                 for one in (old, new)
             ]
             ratio = f"{number(new.total / old.total)} w" if old and new and old.total else ""
             lines.append((f"{row.table}: {row.what}", *cells, ratio))
+        for name, event in EVENTS.items():
+            if self._plays(name, "before"):
+                lines.append((event.title, *(self._took(name, one) for one in ("before", "full")), ""))
         return _table(("what", "before", "now", "now / before"), lines)
 
     def _documents(self) -> str:
@@ -496,27 +500,31 @@
 
     # Events
 
-    def _plays(self, name: str) -> list[tuple[Sizes, list[dict[str, float]]]]:
+    def _plays(self, name: str, document: str = "full") -> list[tuple[Sizes, list[dict[str, float]]]]:
         """Give an event's plays by the sizes they were played at, the nearest to the day's first."""
-        full = self.documents.get("full")
+        result = self.documents.get(document)
         plays: dict[Sizes, list[dict[str, float]]] = {}
-        for one in full.events if full else ():
+        for one in result.events if result else ():
             if one.name == name:
                 plays.setdefault(one.sizes, []).append(one.figures)
         return sorted(plays.items(), key=lambda one: (abs(one[0].schedulers - DAY.schedulers), repr(one[0])))
 
+    def _took(self, name: str, document: str = "full") -> str:
+        """Say how long an event took at the size nearest to the day's, and how often it reached not all."""
+        for sizes, plays in self._plays(name, document)[:1]:
+            values = [one[FORCE] for one in plays if FORCE in one]
+            failed = len(plays) - len(values)
+            cells = [f"{_spread(values)} s m"] if values else []
+            cells += [f"{NEVER} in {failed} of {len(plays)} plays m"] if failed else []
+            return f"{', '.join(cells)} at {_names('schedulers', sizes.schedulers)}"
+        return MISSING
+
     def _events(self) -> str:
         lines = []
         for name, event in EVENTS.items():
-            took, used = MISSING, ""
-            for sizes, plays in self._plays(name)[:1]:
-                values = [one[FORCE] for one in plays if FORCE in one]
-                failed = len(plays) - len(values)
-                cells = [f"{_spread(values)} s m"] if values else []
-                cells += [f"{NEVER} in {failed} of {len(plays)} plays m"] if failed else []
-                took = f"{', '.join(cells)} at {_names('schedulers', sizes.schedulers)}"
-                used = self._worst(event, FORCE, values)
-            cells = [took, self._goal(event, FORCE), used, event.mechanism, event.beyond]
+            values = [one[FORCE] for _, some in self._plays(name)[:1] for one in some if FORCE in one]
+            used = self._worst(event, FORCE, values)
+            cells = [self._took(name), self._goal(event, FORCE), used, event.mechanism, event.beyond]
             lines.append((event.title, event.often, *cells))
         head = ("event", "how often", "all in force after", "goal", "used, worst", "carried by")
         return _table((*head, "breaks first beyond"), lines)
--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -10,7 +10,7 @@
 
 from runloft.accounts.ledger import MOST_VOLUMES
 from runloft.config.operator import BEHIND_FENCE, CHANGE_MS, CLIENT_KB, FENCE_OVER, WITH_TOOLS_MB
-from runloft.config.settings import MEMORY_MB, AgreementSettings
+from runloft.config.settings import FENCE_LEASES, MEMORY_MB, AgreementSettings
 from runloft.core.model import Bounds
 from runloft.fronts.accepting import CLIENT_PART, CROWD_PART
 from runloft.fronts.resp import CROWD_NS, IDLE_NS
@@ -301,7 +301,7 @@
     """Say what one scheduler's settings have to be at this size, and what the fixed times do to clients."""
     rest_s = sizes.clients / sizes.statements
     own_mb = WITH_TOOLS_MB + sizes.clients * CLIENT_KB / 1024
-    change = 2 * FENCE_OVER + BEHIND_FENCE  # in leases, with a fence of two
+    change = FENCE_LEASES * FENCE_OVER + BEHIND_FENCE  # in leases
     idle_s, crowd_s = IDLE_NS / 1e9, CROWD_NS / 1e9
     crowd, front = CROWD_PART, "fronts/accepting.py, fronts/resp.py"
     return (
@@ -322,8 +322,8 @@
              f"nodes / statements; idle ones are closed after {IDLE_PART:g} of ConnIdle"),
         Need("limits.memory_mb: the program and its clients", own_mb,
              f"config/operator.py: {CLIENT_KB:g} KiB a client, {WITH_TOOLS_MB:g} MB without any"),
-        Need("agreement.lease_ms: at most, with a fence of two", CHANGE_MS / change,
+        Need("agreement.lease_ms: at most, with the fence that follows", CHANGE_MS / change,
              f"config/operator.py: {CHANGE_MS / 1e3:g} s for a change while one is silent"),
         Need(f"a change with a lease of {LEASE_S:g} s, one silent, s", LEASE_S * change,
-             "the fence and a sixteenth, half a lease, an exchange, a look"),
+             "its fence and a sixteenth, a lease to the moment, a look"),
     )  # fmt: skip
--- a/tests/test_capacity.py
+++ b/tests/test_capacity.py
@@ -214,6 +214,18 @@
     assert row(tables, "path-starts", "platform")[1] == "0.4 s m"
 
 
+def test_the_protocol_before_stands_beside_the_one_that_is():
+    full = document(line("schedulers", BYTES, 1.0, 50.0, (50, 450)), events=[event("change", 3.0)])
+    old = document(
+        line("schedulers", BYTES, 9.0, 950.0, (50, 450)), events=[Event("change", Sizes(450), 0, {})]
+    )
+    tables = Page({"full": full, "before": old}).tables()
+    assert row(tables, "before", "control: watch, bytes in")[1:] == [
+        "9 x 450 schedulers + 950 = 5,000 B/s w", "1 x 450 schedulers + 50 = 500 B/s w", "0.1 w"]  # fmt: skip
+    assert row(tables, "before", "a change of configuration")[1:3] == [
+        "NOT reached in 1 of 1 plays m at 450 schedulers", "3 s m at 450 schedulers"]  # fmt: skip
+
+
 @pytest.fixture
 def page(tmp_path):
     """A page with all tables, and its documents beside it; gives what runs the command on it."""
