--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -221,7 +221,11 @@
 LOOKS = (0, 2, 5, 10, 14, 15, 17, 20)
 WHOLE: Mapping[str, Shown] = {
     "path-together": Shown(
-        {"clients-ask-in-turn": "in turn", "clients-ask-by-lot": "by lot"},
+        {
+            "clients-ask-in-turn": "in turn",
+            "clients-ask-by-lot": "by lot",
+            "clients-ask-in-turn-uncrowded": "in turn, 60,000 sockets",
+        },
         ("clients", "statements"),
         {
             "open": "scheduler.clients_open_count",
