--- a/runloft/lab/scale/roles.py
+++ b/runloft/lab/scale/roles.py
@@ -299,6 +299,7 @@
     value: float
     why: str
     mark: str = "w"
+    budget: str | None = None  # that it may not pass
 
 
 def settings_needed(sizes: Sizes) -> tuple[Need, ...]:
@@ -325,7 +326,8 @@
         Need("a node connection's mean rest, s", sizes.nodes / sizes.statements,
              f"nodes / statements; idle ones are closed after {IDLE_PART:g} of ConnIdle"),
         Need("limits.memory_mb: the program and its clients", own_mb,
-             f"config/operator.py: {CLIENT_KB:g} KiB a client, {WITH_TOOLS_MB:g} MB without any"),
+             f"config/operator.py: {CLIENT_KB:g} KiB a client, {WITH_TOOLS_MB:g} MB without any",
+             budget="memory"),
         Need("agreement.lease_ms: at most, with the fence that follows", CHANGE_MS / change,
              f"config/operator.py: {CHANGE_MS / 1e3:g} s for a change while one is silent"),
         Need(f"a change with a lease of {LEASE_S:g} s, one silent, s", LEASE_S * change,
