--- a/runloft/lab/scale/capacity.py
+++ b/runloft/lab/scale/capacity.py
@@ -120,7 +120,7 @@
             measured = self.measured[0] + other.measured[0], min(self.measured[1], other.measured[1])
         reach = {
             vary: min(one.reach[vary] for one in (self, other) if vary in one.reach)
-            for vary in self.reach.keys() | other.reach.keys()
+            for vary in {**self.reach, **other.reach}
         }
         constant, bends = self.constant + other.constant, self.bends or other.bends
         misses = self.misses + other.misses
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -94,7 +94,7 @@
         # Nothing runs yet that could write: what there is to keep has just been read.
         for effect in self.member.remember(kept.force, kept.age_s, self.clock()):
             if isinstance(effect, Adopt):
-                self.content = effect.content
+                self.content, self.standing.generation = effect.content, effect.generation
             elif isinstance(effect, Say):
                 self._say(effect)
         self.standing.copy_age_s = kept.age_s
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -158,6 +158,7 @@
                 server.traffic.sent - before[2],
             )
 
+        server.keys.unix_ns = lambda: 1_700_000_000_123_456_789  # whose text is always as long
         await store.exchange(Exchange(lease()))  # its connection is there
         alone = await counted()
         for number in range(200):
@@ -424,6 +425,7 @@
     log.write_text("")
     pair.start("reports")
     until(lambda: "from copy" in log.read_text())
+    assert f"generation={before + 2}" in log.read_text()
     assert "Parts is 20.0 here, 2.0 in force" in log.read_text() and "s old" in log.read_text()
     pair.store.failures.silent = False
     pair.agree()
