Read a change once at each scheduler that was asked about it

The mark of what is in force names it whole now, so that a scheduler makes it of the stage and of what it has. Who was not asked reads it as before. The test counts reads at the store and fails without it.

--- a/runloft/sharing/agreement.py
+++ b/runloft/sharing/agreement.py
@@ -37,6 +37,7 @@
 
 log = structlog.get_logger()
 STAGE_LEASES = 2  # a stage runs out after so many leases, unless it is renewed
+MARK = ("era", "generation", "digest", "token", "at_ns", "digest of the one before")  # words of _mark
 TRIES = 8  # of a transaction that others get in the way of
 T = TypeVar("T")
 
@@ -108,11 +109,27 @@
 
     async def _view(self, read: list[Any]) -> View:
         clock, era, rank, token = read
+        if rank is not None:
+            self._assemble(rank)
         force = await self._held("force", rank, force_from)
         stage = await self._held("stage", token, stage_from)
         number, settled = _era(era)
         return View(_time(clock), force, stage, era=number, settled=settled)
 
+    def _assemble(self, mark: bytes) -> None:
+        """Make what is in force of its stage and of what was in force before, where both were read.
+
+        A change is read once by each sidecar that was asked, and not again with what was before it.
+        """
+        last, stage = self._known.get("force"), self._known.get("stage")
+        words = mark.split(b" ")
+        if last is None or last[0] == mark or stage is None or len(words) != len(MARK):
+            return
+        staged, old, at_ns = stage[1], last[1].content, words[4]
+        force = Force(staged.generation, staged.content, 0, old, staged.token, staged.by, staged.era)
+        if at_ns.isdigit() and mark == _mark(force := replace(force, at_ns=int(at_ns))):
+            self._known["force"] = mark, force
+
     async def view(self) -> View:
         """Read all there is, for the tool."""
 
@@ -166,8 +183,7 @@
 
     def _put(self, pipe: Any, force: Force) -> None:
         pipe.set(self._key("force"), force.dump())
-        era, generation, digest = force.rank
-        pipe.set(self._key("force:rank"), f"{era} {generation} {digest} {force.token} {force.at_ns}")
+        pipe.set(self._key("force:rank"), _mark(force))
 
     async def found(self, effect: Found) -> None:
         """Put a first generation, where there is none."""
@@ -312,6 +328,11 @@
             raise StoreError(f"the store holds what is not ours: {error}") from error
 
 
+def _mark(force: Force) -> bytes:
+    before = force.before.digest if force.before else ""
+    return " ".join(map(str, (*force.rank, force.token, force.at_ns, before))).encode()
+
+
 def _text(value: bytes | str) -> str:
     return value.decode() if isinstance(value, bytes) else value
 
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -168,6 +168,34 @@
     play(check)
 
 
+def test_who_was_asked_about_a_generation_does_not_read_it_again_once_it_is_in_force():
+    async def check(server, store, other):
+        await store.begin(Begin(7, 0))
+        await store.found(Found(Force(1, ONE)))
+        await other.exchange(Exchange(lease()))  # it is never asked
+        await store.exchange(Exchange(lease("s1")))
+        rank = (0, 1, ONE.digest)
+        assert await other.put_stage(PutStage(Stage("t.0", 2, TWO, "me", 7), rank))
+        assert (await store.exchange(Exchange(lease("s1")))).stage.content == TWO
+        force = Force(2, TWO, 0, ONE, "t.0", "me", 7)
+        assert await other.put_force(PutForce(force, rank, frozenset(("s0", "s1")), LEASE))
+        read = []
+        act = server.keys.act
+        server.keys.act = lambda session, words: read.append(words[1:]) or act(session, words)
+        asked = (await store.exchange(Exchange(lease("s1")))).force
+        assert [b"t:force"] not in read
+        assert asked == (await other.exchange(Exchange(lease()))).force and [b"t:force"] in read
+        assert asked.rank == force.rank and asked.before == ONE and asked.at_ns > 0
+        # Not where what was before is another one, or what came is not what was staged.
+        for mark in (b"7 3 x t.1 0 y", b"7 2 %s t.0 5 y" % TWO.digest.encode(), b"7 2 x t.0 5 y", b"1 2"):
+            server.keys.data[b"t:force:rank"] = mark
+            read.clear()
+            await store.exchange(Exchange(lease("s1")))
+            assert [b"t:force"] in read
+
+    play(check)
+
+
 def test_what_a_store_has_lost_is_put_back_but_never_over_a_higher_one():
     async def check(server, store, other):
         await store.restore(Restore(Force(5, ONE)))
