Tell of records that are not ours beside what the tool prints, which may be JSON

Seen in a trial with a sidecar of each version at one store. It goes to standard error, as a warning. The new test fails without it; it holds too that a roll-out is barred by that record.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -74,6 +74,8 @@
         # Loaded here: ``serve`` on the platform needs no client of a store.
         from runloft import rolling
 
+        # What is told on the way goes beside what is printed, which may be JSON.
+        structlog.configure(logger_factory=structlog.PrintLoggerFactory(sys.stderr))
         return rolling.run(options)
     if options.command == "lab":
         return _lab(options)
--- a/runloft/sharing/agreement.py
+++ b/runloft/sharing/agreement.py
@@ -358,5 +358,5 @@
             if text is not None:
                 found[_text(name)] = read(text)
         except RecordError as error:
-            log.debug("a record in the store is passed over", name=_text(name), error=str(error))
+            log.warning("a record in the store is passed over", name=_text(name), error=str(error))
     return found
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -498,6 +498,23 @@
     pair.agree()
 
 
+def test_a_record_of_the_version_before_is_told_beside_the_json_and_bars_a_roll_out(pair):
+    pair.start("ingest")
+    pair.agree(1)
+    old = json.dumps(json.loads(lease("old").dump()) | {"format": 1}).encode()
+    pair.store.keys.data[b"runloft:lease:old"] = old
+    pair.store.keys.data[b"runloft:names"].add(b"old")
+    command = [sys.executable, "-m", "runloft", "config", "status", "--json", "--config"]
+    done = subprocess.run(
+        [*command, str(pair.path / "files" / "ingest.toml")], capture_output=True, text=True, cwd=ROOT
+    )
+    states = {row["sidecar"]: row["state"] for row in json.loads(done.stdout)["sidecars"]}
+    assert states == {"ingest": "agrees", "old": "unknown"} and "passed over" in done.stderr
+    shutil.copy(pair.fleet, pair.path / "files" / "fleet.toml")
+    out = pair.tool("roll", "out", pair.path / "files", status=1)
+    assert "known by no lease of this version, so it can't be left out: old" in out
+
+
 def test_what_nothing_in_force_speaks_of_is_held_and_refused_with_a_time_to_come_back(pair):
     shutil.copytree(pair.path / "files", pair.path / "first")
     shutil.copy(pair.fleet, pair.path / "first" / "fleet.toml")
