Say once how long a fence takes to be over, and once how reserves are told

Read again: 'fence and drift' was worked out in four places, the look for an Adopt among effects stood twice in Member, and the forgetting of a sidecar kept two ways of seeing one mark move. One function each now.

--- a/runloft/config/agreement/fencing.py
+++ b/runloft/config/agreement/fencing.py
@@ -7,7 +7,7 @@
 
 - its record says that it serves by what is in force: it is one generation back then, as whoever misses a
   change is; or
-- it has been seen to ask nothing for the fence and ``drift_ns``: its last question was asked before its
+- it has been seen to ask nothing for the fence and ``DRIFT``: its last question was asked before its
   record was first read, so that it holds no lease at all, and need not be known any more; or
 - what is in force has been seen to be for as long: a lease by anything before it was asked for before.
 
@@ -19,9 +19,9 @@
 DRIFT = 16  # a part of the fence: what two steady clocks may go apart in its time
 
 
-def drift_ns(fence_ns: int) -> int:
-    """Give what is added to a fence by whoever waits for it to be over."""
-    return fence_ns // DRIFT
+def over_ns(fence_ns: int) -> int:
+    """Give how long whoever waits for a fence has to wait until it is over for certain."""
+    return fence_ns + fence_ns // DRIFT
 
 
 class Stillness:
--- a/runloft/config/agreement/member.py
+++ b/runloft/config/agreement/member.py
@@ -14,7 +14,7 @@
 from dataclasses import dataclass, replace
 
 from runloft.config.agreement.content import Content, completed
-from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.fencing import Stillness, over_ns
 from runloft.config.agreement.records import Force, Lease, Stage, Verdict, View, rank_of
 
 BEATS = 4  # exchanges in the time of a lease
@@ -168,8 +168,7 @@
             effects += self._adopt(now)
         if self.reserves_until is not None and now >= self.reserves_until:
             self.reserves_until = None
-            effects = [replace(one, reserves=False) if isinstance(one, Adopt) else one for one in effects]
-            effects += [*self._gone_by(effects), Say("fenced", self.served[0], "nothing is reserved")]
+            effects = [*self._with_reserves(effects), Say("fenced", self.served[0], "nothing is reserved")]
         if not self._cut_off and self.heard_at is not None and not self.connected(now):
             self._cut_off = True
             effects.append(Say("cut off", self.served[0], "the store was not heard for a lease"))
@@ -220,7 +219,7 @@
         lasted = self._fresh.lasts(view.era, now)
         if view.settled:
             self.era = view.era
-        elif lasted >= self.fence_ns + drift_ns(self.fence_ns):
+        elif lasted >= over_ns(self.fence_ns):
             self.era = view.era
             return [Settle(view.era)]
         return []
@@ -233,16 +232,15 @@
         foreseen_only = self.change_at is not None and force.before is None  # nothing is in force yet
         if rank_of(view.force) == force.rank and not foreseen_only:
             before, self.reserves_until = self.reserves, self._asked_at + self.fence_ns
-            effects = [replace(one, reserves=True) if isinstance(one, Adopt) else one for one in effects]
             if not before:
-                effects += [*self._gone_by(effects), Say("reserves", self.served[0])]
+                effects = [*self._with_reserves(effects), Say("reserves", self.served[0])]
         return effects
 
-    def _gone_by(self, effects: list[Effect]) -> list[Effect]:
-        """Go by the same with other reserves, unless that is being told already."""
-        if self.content is None or any(isinstance(one, Adopt) for one in effects):
-            return []
-        return [Adopt(self.content, self.served[0], self.reserves)]
+    def _with_reserves(self, effects: list[Effect]) -> list[Effect]:
+        """Go by the same as before, or by what is being told already, with the reserves held now or none."""
+        if self.content is not None and not any(isinstance(one, Adopt) for one in effects):
+            return [*effects, Adopt(self.content, self.served[0], self.reserves)]
+        return [replace(one, reserves=self.reserves) if isinstance(one, Adopt) else one for one in effects]
 
     def _empty(self, now: int) -> list[Effect]:
         """Put back what is known; else, when nobody has done so for a lease, begin with the own file."""
--- a/runloft/config/agreement/rollout.py
+++ b/runloft/config/agreement/rollout.py
@@ -13,7 +13,7 @@
 from enum import Enum
 
 from runloft.config.agreement.content import Content
-from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.fencing import Stillness, over_ns
 from runloft.config.agreement.member import Begin, Settle
 from runloft.config.agreement.records import Force, Lease, Mark, Rank, Stage, View, rank_of
 
@@ -178,8 +178,7 @@
         if not view.era or view.era < rank_of(view.force)[0]:
             era = max(view.now_ns, rank_of(view.force)[0]) + 1
             return [Begin(era, view.era)] if now - self.since <= self._patience else self._stop("no era")
-        still, fenced = self._era.lasts(view.era, now), self.fence_ns + drift_ns(self.fence_ns)
-        if not view.settled and still < fenced:
+        if self._era.lasts(view.era, now) < over_ns(self.fence_ns) and not view.settled:
             return []  # the store has begun anew: who was cut off may hold a lease of what it was
         settle: list[Effect] = [] if view.settled else [Settle(view.era)]
         if view.force is not None and view.force.at_ns > view.now_ns:
@@ -214,8 +213,7 @@
 
     def _left_out(self, lease: Lease) -> tuple[bool, bool]:
         """Say whether a sidecar may be left out of what comes next, and whether it is fenced for certain."""
-        fence = max(self.fence_ns, lease.fence_ns)
-        over = fence + drift_ns(fence)
+        over = over_ns(max(self.fence_ns, lease.fence_ns))
         fenced = self._mute[lease.name] >= over
         none_back = fenced or self._abreast(lease) or self._in_force >= over
         return self._deaf[lease.name] >= self.lease_ns and none_back, fenced
--- a/runloft/rolling.py
+++ b/runloft/rolling.py
@@ -16,7 +16,7 @@
 import anyio
 
 from runloft.config.agreement.content import Content
-from runloft.config.agreement.fencing import Stillness, drift_ns
+from runloft.config.agreement.fencing import over_ns
 from runloft.config.agreement.member import Begin, Settle
 from runloft.config.agreement.records import View
 from runloft.config.agreement.rollout import (
@@ -257,16 +257,13 @@
 
 async def _forget(store: AgreementStore, name: str, fence_ns: int) -> int:
     """Take out a sidecar that has been seen silent for its fence: until then it may serve."""
-    view, still = await store.view(), Stillness()
+    view = await store.view()
     lease = view.leases.get(name)
     mark = lease.mark if lease else None
-    until_ns = max(fence_ns, lease.fence_ns) if lease else 0
-    until_ns += drift_ns(until_ns)
-    while lease is not None and still.lasts(lease.mark, time.monotonic_ns()) < until_ns:
+    ends = time.monotonic_ns() + (over_ns(max(fence_ns, lease.fence_ns)) if lease else 0)
+    while lease is not None and lease.mark == mark and time.monotonic_ns() < ends:
         await anyio.sleep(store.lease_ms / 1000 / ASKS)
         lease = (await store.view()).leases.get(name)
-        if lease is not None and lease.mark != mark:
-            break
     if name in view.names and await store.forget(name, mark):
         print(f"{name} is no longer known")
         return 0
