Play random overlapping faults against real processes: runloft lab soak, first form

Cause: troubles were provoked one at a time, most in one process with sockets forced; nothing overlapped them.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -49,6 +49,9 @@
 
     options_of_scale.add_parser(actions)
     options_of_scale.add_capacity_parser(actions)
+    from runloft.lab.soak import options as options_of_soak
+
+    options_of_soak.add_parser(actions)
     return top
 
 
@@ -110,6 +113,8 @@
             from runloft.lab.scale import commands as scale
         if options.action == "capacity":
             from runloft.lab.scale import capacity
+        if options.action == "soak":
+            from runloft.lab.soak import commands as soak
     except ModuleNotFoundError as error:
         print(f"runloft: {error.name} is missing: pip install -r requirements-tools.txt", file=sys.stderr)
         return 2
@@ -118,6 +123,8 @@
         return scale.run(options)
     if options.action == "capacity":
         return capacity.run(options)
+    if options.action == "soak":
+        return soak.run(options)
     return rollouts.run(options) if options.action == "rollouts" else commands.run(options)
 
 
--- /dev/null
+++ b/runloft/lab/soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized fault soak: real scheduler processes on loopback under overlapping troubles."""
--- /dev/null
+++ b/runloft/lab/soak/commands.py
@@ -0,0 +1,144 @@
+"""``runloft lab soak``: plays seeds of overlapping troubles against real processes, and names what broke."""
+
+import argparse
+import json
+import shutil
+import sys
+import tempfile
+from collections import Counter
+from dataclasses import asdict, dataclass
+from pathlib import Path
+
+import anyio
+
+from runloft.config.commands import misused
+from runloft.lab.soak.oracles import Violation, check
+from runloft.lab.soak.records import Ending
+from runloft.lab.soak.running import SoakRun
+from runloft.lab.soak.schedule import Schedule, ScheduleError, checked_kinds, draw, read
+
+MOST_SHOWN = 10
+
+
+@dataclass(frozen=True, slots=True)
+class SeedResult:
+    """What one seed came to."""
+
+    schedule: Schedule
+    requests: int
+    attempts: int
+    endings: dict[str, int]
+    lag_s: float
+    violations: tuple[Violation, ...]
+
+
+def run(options: argparse.Namespace) -> int:
+    """Play; 0 where nothing was broken, 1 where something was, 2 for a wrong use."""
+    try:
+        schedules = schedules_of(options)
+    except ScheduleError as error:
+        return misused(str(error))
+    results = []
+    try:
+        for schedule in schedules:
+            results.append(_played(schedule, options))
+            _report(results[-1], options)
+    except KeyboardInterrupt:
+        print("runloft: interrupted, nothing is left running", file=sys.stderr)
+    broken = [one for one in results if one.violations]
+    requests = sum(one.requests for one in results)
+    print(f"{len(results)} of {len(schedules)} seeds played, {requests} requests, {len(broken)} failed")
+    if options.output:
+        with open(options.output, "a") as out:
+            for one in results:
+                out.write(json.dumps(asdict(one) | {"schedule": asdict(one.schedule)}) + "\n")
+    return 1 if broken or len(results) < len(schedules) else 0
+
+
+def schedules_of(options: argparse.Namespace) -> list[Schedule]:
+    """Read what is to be played; ScheduleError for what can't be."""
+    if options.schedule:
+        return [read(options.schedule)]
+    first, mark, last = options.seeds.partition("-")
+    if not first.isdigit() or (mark and not last.isdigit()):
+        raise ScheduleError(f"--seeds {options.seeds}: a number or a range such as 1-200 is wanted")
+    seeds = range(int(first), int(last or first) + 1)
+    if not seeds:
+        raise ScheduleError(f"--seeds {options.seeds}: the range is empty")
+    kinds = checked_kinds(options.troubles)
+    return [draw(seed, options.processes, options.seconds, kinds) for seed in seeds]
+
+
+def _played(schedule: Schedule, options: argparse.Namespace) -> SeedResult:
+    result = _once(schedule, options)
+    if result.violations and options.shrink:
+        result = shrunk(result, options)
+    return result
+
+
+def _once(schedule: Schedule, options: argparse.Namespace) -> SeedResult:
+    folder = Path(tempfile.mkdtemp(prefix="runloft-soak-"))
+    try:
+        run = SoakRun(schedule, folder)
+        record = anyio.run(run.play)
+        logs = sorted(folder.glob("process-*.log"))
+        violations = check(schedule, record, logs)
+        if violations and options.keep:
+            kept = Path(options.keep) / f"seed-{schedule.seed}"
+            shutil.rmtree(kept, ignore_errors=True)
+            shutil.copytree(folder, kept)
+            (kept / "schedule.json").write_text(schedule.dump())
+            _write_paths(kept / "paths.txt", violations, record, logs)
+    finally:
+        shutil.rmtree(folder, ignore_errors=True)
+    endings = Counter(str(one.ending) for one in record.requests)
+    lag = max((lag for _, lag in record.lags), default=0.0)
+    return SeedResult(
+        schedule, len(record.requests), len(record.attempts), dict(endings), lag, tuple(violations)
+    )
+
+
+def _write_paths(path: Path, violations: list[Violation], record: object, logs: list[Path]) -> None:
+    """Write each broken request's path through clients, nodes and logs."""
+    out = []
+    for violation in violations[:MOST_SHOWN]:
+        out.append(f"== {violation}")
+        for name in ("requests", "attempts"):
+            own = [one for one in getattr(record, name) if one.id == violation.subject]
+            out += [f"  {name[:-1]}: {one}" for one in own]
+        for log in logs:
+            lines = log.read_text(errors="replace").splitlines()
+            out += [f"  {log.stem}: {line}" for line in lines if violation.subject in line]
+    path.write_text("\n".join(out) + "\n")
+
+
+def shrunk(result: SeedResult, options: argparse.Namespace) -> SeedResult:
+    """Drop troubles one by one while the same rule still breaks."""
+    rules = {one.rule for one in result.violations}
+    for trouble in result.schedule.troubles:
+        smaller = _once(result.schedule.without(trouble), options)
+        if rules & {one.rule for one in smaller.violations}:
+            result = smaller
+    return result
+
+
+def _report(result: SeedResult, options: argparse.Namespace) -> None:
+    schedule = result.schedule
+    word = "FAILED" if result.violations else "passed"
+    served = result.endings.get(str(Ending.SERVED), 0)
+    print(
+        f"seed {schedule.seed}: {word}; {len(schedule.troubles)} troubles, {result.requests} requests, "
+        f"{served} served, {result.attempts} attempts, own lag {result.lag_s * 1000:.0f} ms",
+        flush=True,
+    )
+    for violation in result.violations[:MOST_SHOWN]:
+        print(f"  {violation}")
+    if not result.violations:
+        return
+    for trouble in schedule.troubles:
+        print(f"  {trouble.at_s:6.2f} s +{trouble.for_s:.2f}  {trouble.kind} {trouble.target} ({trouble.amount:g})")
+    print(
+        f"  again: python -m runloft lab soak --seeds {schedule.seed} --processes {schedule.processes}"
+        f" --seconds {schedule.seconds:g}",
+        flush=True,
+    )
