Go on accepting whatever one connection's error is, and close no listener over a queue

Cause: accept_waiting took an aborted connection for an empty queue (winding down closed the listener over the rest), and the accept task ended at any OSError from behind accept. Change: errors that accept(2) reports of one connection are passed over, those of the machine are a pause and never an empty queue; options that can't be set are no reason to part with a connection; the accept task ends with its listener alone and logs what failed. A connect that a signal interrupts is under way. Excluded: EAGAIN alone says that the queue is empty; a closed listener still ends the task.

--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -1,5 +1,6 @@
 """What both fronts do alike: accept connections, and part with the least useful ones in a crowd."""
 
+import errno
 import socket
 from collections.abc import Callable, Sequence
 from typing import Generic, Protocol, TypeVar
@@ -11,7 +12,7 @@
 from runloft.config.settings import Config
 from runloft.core.deadlines import Deadlines
 from runloft.core.model import Event
-from runloft.net.sockets import nothing_to_read
+from runloft.net.sockets import no_delay, nothing_to_read
 from runloft.net.timing import Clock, pause
 
 log = structlog.get_logger()
@@ -21,6 +22,24 @@
 CLIENT_PART = 1 / 2  # at most, while each of them is owed an answer
 FRESH_NS = 100_000_000  # after connecting, or an answer: so long a client is not parted with to make room
 PART_WITH = 8  # connections closed at a time: finding them costs a look at all
+MOST_FAILED = 64  # connections in a row that accept may report as failed before there is a pause
+# What accept(2) reports of the connection at the head of the queue, not of the listener or the machine.
+CONNECTION_ERRORS = frozenset(
+    (
+        errno.ECONNABORTED,
+        errno.EHOSTDOWN,
+        errno.EHOSTUNREACH,
+        errno.EINTR,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENONET,
+        errno.ENOPROTOOPT,
+        errno.EOPNOTSUPP,
+        errno.EPERM,
+        errno.EPROTO,
+        errno.ETIMEDOUT,
+    )
+)
 
 
 class Connected(Protocol):
@@ -83,20 +102,26 @@
                 closed += 1
 
     async def accept(self, listener: socket.socket) -> None:
-        """Accept until the listener closes."""
-        while True:
+        """Accept until the listener closes; whatever else fails is logged and tried again."""
+        while listener.fileno() >= 0:
             try:
                 if not self.accept_waiting(listener, BURST):
                     # Full or out of descriptors: the rest waits in the kernel.
                     await pause(self.deadlines, self.clock, FULL_S)
                 await anyio.sleep(0)
                 await anyio.wait_readable(listener)
-            except (OSError, ValueError, anyio.ClosedResourceError):
-                return
+            except (OSError, ValueError, anyio.ClosedResourceError) as error:
+                if listener.fileno() < 0:
+                    return
+                log.warning("accepting failed and goes on", error=str(error))
+                await pause(self.deadlines, self.clock, FULL_S)
 
     def accept_waiting(self, listener: socket.socket, most: int | None = None) -> bool:
-        """Accept what is there, or so many; whether there was room."""
-        count = 0
+        """Accept what is there, or so many; False while more may wait than could be accepted.
+
+        True without ``most`` means that the queue was seen empty: only then may a listener close.
+        """
+        count = failed = 0
         while most is None or count < most:
             count += 1
             if len(self.clients) >= self.crowd:
@@ -105,20 +130,32 @@
                 return False
             try:
                 sock, _ = listener.accept()
-            except (BlockingIOError, ConnectionAbortedError):
+            except BlockingIOError:
                 return True
             except OSError as error:
                 if listener.fileno() < 0:
                     raise
+                failed += 1
+                if error.errno in CONNECTION_ERRORS and failed < MOST_FAILED:
+                    continue  # it says something of this connection alone: others wait behind it
                 # Guards the listener: no descriptor left is no reason to stop accepting for good.
                 log.warning("accept", error=str(error))
                 return False
+            self._admit(sock)
+        return True
+
+    def _admit(self, sock: socket.socket) -> None:
+        """Serve an accepted connection; a fault in this one says nothing of the others."""
+        try:
             sock.setblocking(False)
-            sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+            no_delay(sock)
             client = self.new_client(sock)
-            self.clients.add(client)
-            self.group.start_soon(self._serve, client)
-        return True
+        except OSError as error:
+            log.warning("an accepted connection can't be served", error=str(error))
+            sock.close()
+            return
+        self.clients.add(client)
+        self.group.start_soon(self._serve, client)
 
     async def _serve(self, client: C) -> None:
         """Guard the program: a fault that one client's bytes bring to light ends that client alone."""
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -4,6 +4,7 @@
 import socket
 from collections import deque
 from collections.abc import Iterable
+from contextlib import suppress
 from itertools import islice
 
 import anyio
@@ -113,11 +114,17 @@
     return sock
 
 
+def no_delay(sock: socket.socket) -> None:
+    """Have small writes sent at once; where that can't be set, the connection is used all the same."""
+    with suppress(OSError):
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+
+
 def connecting() -> socket.socket:
     """Make a socket that is about to connect."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
     sock.setblocking(False)
-    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    no_delay(sock)
     return sock
 
 
@@ -127,7 +134,7 @@
     await anyio.lowlevel.checkpoint()
     try:
         sock.connect(where)
-    except BlockingIOError:
+    except (BlockingIOError, InterruptedError):  # under way, also where a signal interrupted the call
         await anyio.wait_writable(sock)
         error = sock.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR)
         if error:
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -135,6 +135,12 @@
     assert len(made.clients) == 1
 
 
+def test_an_error_of_the_machine_is_never_taken_for_an_empty_queue():
+    made = serving()
+    assert made.accept_waiting(Waiting(OSError(errno.ENFILE, "full"), Accepted())) is False
+    assert made.accept_waiting(Waiting(*(OSError(errno.ECONNABORTED, "gone") for _ in range(5000)))) is False
+
+
 def test_a_connection_whose_option_fails_is_served_all_the_same():
     made, sock = serving(), Accepted(OSError(errno.EINVAL, "gone"))
     assert made.accept_waiting(Waiting(sock, Accepted())) is True
@@ -159,9 +165,8 @@
                 raise anyio.ClosedResourceError
 
         def new_client(sock):
-            if not calls:
-                raise OSError(errno.EBADF, "gone")
-            return Client(sock)
+            made.new_client = Client
+            raise OSError(errno.EBADF, "gone")
 
         if fails_at == "client":
             made.new_client = new_client
