Show by tests that a request which waits unread is given its whole time anew

Cause: Client._commands hands a command to the translator when its turn comes; its time counts from then (grammar.py, time_left_ns), though it came up to a deadline before. The same behind a pause in reading (slowed down clients) and in the kernel's accept queue.

--- /dev/null
+++ b/tests/test_told_wait.py
@@ -0,0 +1,86 @@
+"""What is left to a client counts from when its request came, however much later it was taken."""
+
+import socket
+
+import anyio
+import pytest
+
+from runloft.core.model import Served, Taken
+from runloft.fronts.resp import PIPELINED
+from tests.driver import MS
+from tests.test_discovery import read_command
+from tests.test_leaving import BAD, play
+
+WAITED_MS = 1000
+LOOK_MS = 50  # between looks at a client that is not read for now
+D_MS = 2000
+
+
+def left_ms(scene):
+    """Give what each request was taken to have left, in the order of taking."""
+    return [event.ask.time_left_ns / MS for event in scene.posted if isinstance(event, Taken)]
+
+
+async def waited(scene, milliseconds):
+    for _ in range(milliseconds // 10):
+        scene.wait(10)
+        await anyio.lowlevel.checkpoint()
+
+
+async def answered(scene, count):
+    """Answer the first request, and go on until so many have been taken."""
+    for asker in scene.taken():
+        asker.answer(Served(b"ok"))
+    await scene.until(lambda: scene.wait(0.01) or len(scene.taken()) >= count)
+
+
+@pytest.mark.parametrize("more", [9, 900])  # within what is read ahead of a full pipeline, and beyond
+def test_a_request_that_waited_behind_a_full_pipeline_has_less_time_left(more):
+    """It was given its whole time anew: its node was told 0.6 s more than its client had left."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sender = socket.socket.sendall
+        await anyio.to_thread.run_sync(sender, sock, read_command(0) * (PIPELINED + more))
+        await scene.until(lambda: len(scene.taken()) == PIPELINED)
+        await waited(scene, WAITED_MS)
+        await answered(scene, PIPELINED + 9)
+        first, late = left_ms(scene)[:PIPELINED], left_ms(scene)[PIPELINED:]
+        assert min(first) > D_MS - 100
+        assert max(late) <= D_MS - WAITED_MS + LOOK_MS
+        if more == 9:  # not a moment is taken off that can be told
+            assert min(late) >= D_MS - WAITED_MS - 100
+        sock.close()
+
+    play(story)
+
+
+def test_a_request_of_a_client_that_is_slowed_down_has_less_time_left():
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(BAD * 9 + read_command(0) * 20)
+        await scene.until(lambda: scene.front.unread)
+        await waited(scene, WAITED_MS)
+        await scene.until(lambda: scene.wait(1) or len(scene.taken()) >= 20)
+        assert max(left_ms(scene)[16:]) <= D_MS
+        sock.close()
+
+    play(story)
+
+
+def test_a_request_that_waited_for_its_connection_to_be_accepted_has_less_time_left():
+    """A full front leaves connections in the kernel's queue, with their requests."""
+
+    async def story(scene):
+        sock = socket.create_connection(scene.listener.getsockname(), timeout=10)
+        most, scene.front.most_clients = scene.front.most_clients, 0
+        sock.sendall(read_command(0))
+        assert scene.front.accept_waiting(scene.listener) is False
+        await anyio.sleep(0.3)  # the kernel's own clock tells how long it waited
+        scene.front.most_clients = most
+        assert scene.front.accept_waiting(scene.listener) is True
+        await scene.until(scene.taken)
+        assert left_ms(scene)[0] <= D_MS - 200
+        sock.close()
+
+    play(story)
