Count a request's time from when its bytes came, however late they are taken

Cause: the time left was counted from the parsing of a command; behind a full pipeline, a pause in reading or the accept queue it had been waiting. Excluded: the pause between the clock and the write is within the terms' slack; a late answer by the node's own delay tells no more than was left at the first byte.

--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -71,6 +71,7 @@
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
         self.clients: set[C] = set()
         self.stopping = False
+        self.was_full = False  # connections have waited in the kernel's queue, so far as is known
         self.configure(config)
 
     def configure(self, config: Config) -> None:
@@ -127,14 +128,17 @@
             if len(self.clients) >= self.crowd:
                 self.make_room()
             if len(self.clients) >= self.most_clients:
+                self.was_full = True
                 return False
             try:
                 sock, _ = listener.accept()
             except BlockingIOError:
+                self.was_full = False
                 return True
             except OSError as error:
                 if listener.fileno() < 0:
                     raise
+                self.was_full = True
                 failed += 1
                 if error.errno in CONNECTION_ERRORS and failed < MOST_FAILED:
                     continue  # it says something of this connection alone: others wait behind it
--- a/runloft/fronts/grammar.py
+++ b/runloft/fronts/grammar.py
@@ -29,8 +29,8 @@
         self.settings = config.settings
         self.tells_writes = any(klass.writes for klass in config.settings.classes)
 
-    def ask(self, words: list[bytes]) -> Ask:
-        """Translate one command."""
+    def ask(self, words: list[bytes], waited_ns: int = 0) -> Ask:
+        """Translate one command that came so long ago."""
         is_write = words[0].upper() == b"IO.OUT"
         if len(words) != (5 if is_write else 4):
             raise BadCommandError("wrong number of arguments")
@@ -65,7 +65,7 @@
             units=units,
             # Guards answers given at the last moment: the client counts from when it sent, and waits
             # for the answer's last byte.
-            time_left_ns=max(wait_ns - TRAVEL_NS, 1_000_000),
+            time_left_ns=max(wait_ns - TRAVEL_NS - waited_ns, 1_000_000),
             shard=shard if shard >= 0 else None,
             payload=RespPayload(
                 (words[0], words[1], words[2], *words[4:]),
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -16,7 +16,7 @@
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
-from runloft.net.sockets import Inbox, Outbox, close, half_closed, nothing_to_read
+from runloft.net.sockets import ArrivalTimes, Inbox, Outbox, close, data_age_ns, half_closed, nothing_to_read
 from runloft.net.timing import pause
 
 log = structlog.get_logger()
@@ -76,8 +76,9 @@
 
     def __init__(self, front: "RespFront", sock: socket.socket) -> None:
         self.front, self.sock = front, sock
-        self.inbox, self.outbox = Inbox(COMMAND_LIMIT), Outbox()
+        self.inbox, self.outbox, self.arrivals = Inbox(COMMAND_LIMIT), Outbox(), ArrivalTimes()
         self.slots: deque[Slot] = deque()
+        self.unread_since: int | None = None  # what comes next came then, for all that is known
         self.room: anyio.Event | None = None
         self.reading = anyio.CancelScope()
         self.ended = self.writing = self.half_read = self.spoke = False
@@ -85,6 +86,7 @@
         self.errors = self.buffered = self.unsent = 0  # unsent: bytes of answers behind one that is owed
         # Last whole command or answer, last byte that it took, and since when a command is half read.
         self.used_at = self.moved_at = self.half_since = front.clock()
+        self.first_read_late = front.was_full  # its request may have waited to be accepted
         self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
@@ -115,16 +117,49 @@
         """Read once; whether the client goes on."""
         while True:
             try:
-                got = self.inbox.receive(self.sock)
+                got = self._receive_now()
             except BlockingIOError:
                 self.inbox.shrink()
                 self._account()
                 await anyio.wait_readable(self.sock)
                 continue
-            self._account()
             self.front.relieve()
             return got > 0
 
+    def _receive_now(self) -> int:
+        """Read what is here and note when it came; 0 at the end, BlockingIOError where nothing is here."""
+        try:
+            got = self.inbox.receive(self.sock)
+        except BlockingIOError:
+            self.unread_since = None
+            raise
+        now = self.front.clock()
+        if self.first_read_late:
+            self.first_read_late = False
+            now -= data_age_ns(self.sock)
+        self.arrivals.add(got, now if self.unread_since is None else self.unread_since)
+        self._account()
+        return got
+
+    def read_ahead(self) -> bool:
+        """Read while no command is taken, to learn when requests came; False: the client has left.
+
+        What finds no room stays in the socket and counts as having come when room ran out.
+        """
+        try:
+            while not (self.closing or self.ended):
+                if self.inbox.is_full() or self.front.buffers > self.front.buffers_most // 2:
+                    if self.unread_since is None:
+                        self.unread_since = self.front.clock()
+                    return True
+                if not self._receive_now():
+                    return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return True
+
     def _account(self) -> None:
         self.front.buffers += len(self.inbox.data) - self.buffered
         self.buffered = len(self.inbox.data)
@@ -148,8 +183,9 @@
             words, inbox.start = piece
             taken += 1
             self.used_at, self.spoke = self.front.clock(), True
+            arrived_at = self.arrivals.of_byte_before(inbox.end - inbox.start, self.used_at)
             if words:
-                self._command(words)
+                self._command(words, arrived_at)
         return not self.closing
 
     def fail(self, reason: str) -> None:
@@ -164,11 +200,11 @@
         self.slots.append(slot)
         return slot
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], arrived_at: int) -> None:
         slot, name = self._slot(), words[0].upper()
         if name in (b"IO.IN", b"IO.OUT"):
             try:
-                ask = self.front.translator.ask(words)
+                ask = self.front.translator.ask(words, self.used_at - arrived_at)
             except BadCommandError as error:
                 self._bad(slot, str(error))
                 return
@@ -363,8 +399,9 @@
 
     def _look(self) -> None:
         gone = half_closed(client.sock for client in self.unread)
-        for client in [client for client in self.unread if client.sock.fileno() in gone]:
-            client.end()
+        for client in list(self.unread):
+            if client.sock.fileno() in gone or not client.read_ahead():
+                client.end()
         self.looking = bool(self.unread)
         if self.looking:
             self.deadlines.add(self.clock() + LOOK_NS, self._look)
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -2,6 +2,7 @@
 
 import select
 import socket
+import sys
 from collections import deque
 from collections.abc import Iterable
 from contextlib import suppress
@@ -12,6 +13,7 @@
 
 GATHER = 64  # parts in one sendmsg
 ABOVE_HEAD = 4096
+LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, milliseconds
 
 
 class Inbox:
@@ -43,12 +45,36 @@
         if lack > 0:
             self.data.extend(bytes(lack))
 
+    def is_full(self) -> bool:
+        """Whether nothing more fits until something of it has been understood."""
+        return self.end - self.start >= self.limit
+
     def shrink(self) -> None:
         """Give back the memory once all is read: most connections rest most of the time."""
         if self.start == self.end and self.data:
             self.data, self.start, self.end = bytearray(), 0, 0
 
 
+class ArrivalTimes:
+    """When the bytes of a stream came that have been received and are not understood yet."""
+
+    def __init__(self) -> None:
+        self._received = 0
+        self._pieces: deque[tuple[int, int]] = deque()  # bytes received up to and with it; when it came
+
+    def add(self, count: int, at: int) -> None:
+        """Note that so many bytes came."""
+        self._received += count
+        self._pieces.append((self._received, at))
+
+    def of_byte_before(self, left: int, default: int) -> int:
+        """Give when the byte came behind which so many are left, and forget all that came before it."""
+        position, pieces = self._received - left, self._pieces
+        while pieces and pieces[0][0] < position:
+            pieces.popleft()
+        return pieces[0][1] if pieces else default
+
+
 class Budget:
     """Memory that many share: who finds none left waits, and its socket fills up."""
 
@@ -167,6 +193,15 @@
     return {number for number, _ in poll.poll(0)}
 
 
+def data_age_ns(sock: socket.socket) -> int:
+    """Give how long ago the last data came to this end, by the kernel (tcp(7), TCP_INFO); 0: unknown."""
+    try:
+        info = sock.getsockopt(socket.IPPROTO_TCP, socket.TCP_INFO, LAST_DATA_RECEIVED.stop)
+    except OSError:
+        return 0
+    return int.from_bytes(info[LAST_DATA_RECEIVED], sys.byteorder) * 1_000_000
+
+
 def nothing_to_read(sock: socket.socket) -> bool:
     """Whether no byte is there that a close would lose."""
     try:
--- a/tests/test_told_wait.py
+++ b/tests/test_told_wait.py
@@ -12,6 +12,7 @@
 from tests.test_leaving import BAD, play
 
 WAITED_MS = 1000
+SLOWED_MS = 240  # in which nothing is read of a client that errs
 LOOK_MS = 50  # between looks at a client that is not read for now
 D_MS = 2000
 
@@ -55,14 +56,31 @@
     play(story)
 
 
+def test_a_request_that_comes_while_its_client_is_not_read_has_its_own_time():
+    """What comes late in a long pause is not taken for as old as the pause."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(read_command(0) * PIPELINED)
+        await scene.until(lambda: len(scene.taken()) == PIPELINED)
+        await waited(scene, WAITED_MS - 100)
+        sock.sendall(read_command(0))
+        await waited(scene, 100)
+        await answered(scene, PIPELINED + 1)
+        assert D_MS - 250 <= left_ms(scene)[-1] <= D_MS - 100 + LOOK_MS
+        sock.close()
+
+    play(story)
+
+
 def test_a_request_of_a_client_that_is_slowed_down_has_less_time_left():
     async def story(scene):
         sock = scene.connect()
-        sock.sendall(BAD * 9 + read_command(0) * 20)
+        sock.sendall(BAD * 16 + read_command(0) * 20)
         await scene.until(lambda: scene.front.unread)
-        await waited(scene, WAITED_MS)
-        await scene.until(lambda: scene.wait(1) or len(scene.taken()) >= 20)
-        assert max(left_ms(scene)[16:]) <= D_MS
+        await waited(scene, SLOWED_MS)
+        await scene.until(lambda: scene.wait(1) or len(scene.taken()) >= 16)
+        assert max(left_ms(scene)) <= D_MS - SLOWED_MS
         sock.close()
 
     play(story)
