--- a/runloft/lab/soak/nodes.py
+++ b/runloft/lab/soak/nodes.py
@@ -158,7 +158,9 @@
         lines, begun = CountedLines(stream), 0
         while True:
             words = await lines.command()
-            ingress = self.ingress[port]  # the proxy has it before it relays a byte
+            ingress = self.ingress.get(port)  # the proxy has it before it relays a byte
+            if ingress is None:
+                return  # its client has gone
             pairs = dict(item.partition(b"=")[::2] for item in words[3].split(b","))
             attempt = AttemptRecord(
                 words[2].decode(), self.index, ingress.arrived_at(begun + 1),
--- a/runloft/lab/soak/processes.py
+++ b/runloft/lab/soak/processes.py
@@ -4,7 +4,6 @@
 import os
 import re
 import signal
-import socket
 import sys
 import time
 from pathlib import Path
@@ -24,12 +23,6 @@
 MS = 1_000_000
 
 
-def free_port() -> int:
-    """Find a port that nothing listens at."""
-    with socket.create_server(("127.0.0.1", 0)) as sock:
-        return int(sock.getsockname()[1])
-
-
 def settings(processes: int, number: int) -> dict[str, Any]:
     """Give the module's settings: three classes, each of another effect."""
     shapes = {
@@ -62,10 +55,11 @@
     """One scheduler at a fixed port, restarted there after it has ended."""
 
     def __init__(
-        self, index: int, schedule: Schedule, folder: Path, discovery: str, record: RunRecord, epoch: float
-    ) -> None:
+        self, index: int, port: int, schedule: Schedule, folder: Path, discovery: str, record: RunRecord,
+        epoch: float,
+    ) -> None:  # fmt: skip
         self.index, self.schedule, self.folder, self.record, self.epoch = index, schedule, folder, record, epoch
-        self.port, self.discovery, self.starts = free_port(), discovery, 0
+        self.port, self.discovery, self.starts = port, discovery, 0
         self.process: anyio.abc.Process | None = None
         self.chance = Random(f"process/{schedule.seed}/{index}")
 
--- a/runloft/lab/soak/running.py
+++ b/runloft/lab/soak/running.py
@@ -12,6 +12,7 @@
 from runloft.lab.serving import Counted
 from runloft.lab.soak.clients import Place, SoakClient
 from runloft.lab.soak.nodes import FaultProxy, SoakNode, Troubles
+from runloft.lab.soak.ports import reserved
 from runloft.lab.soak.processes import SoakProcess
 from runloft.lab.soak.records import NodeChange, RunRecord
 from runloft.lab.soak.schedule import NODES, Schedule, Trouble, TroubleKind
@@ -81,16 +82,17 @@
     async def play(self) -> RunRecord:
         """Play it; RunRecord holds what came of it."""
         with anyio.fail_after(self.schedule.seconds + RUN_DEADLINE_S):
-            async with anyio.create_task_group() as group:
-                try:
-                    await self._play(group)
-                finally:
-                    for process in self.processes:
-                        await process.close()
-                    group.cancel_scope.cancel()
+            with reserved(self.schedule.processes) as ports:
+                async with anyio.create_task_group() as group:
+                    try:
+                        await self._play(group, ports)
+                    finally:
+                        for process in self.processes:
+                            await process.close()
+                        group.cancel_scope.cancel()
         return self.record
 
-    async def _play(self, group: anyio.abc.TaskGroup) -> None:
+    async def _play(self, group: anyio.abc.TaskGroup, ports: list[int]) -> None:
         for server in (*self.agents, *self.nodes, *self.proxies):
             await group.start(server.run)
         for node, proxy in zip(self.nodes, self.proxies, strict=True):
@@ -98,8 +100,8 @@
         start_s = 1.0 + 0.25 * self.schedule.processes
         self.epoch = time.monotonic() + start_s
         self.processes = [
-            SoakProcess(i, self.schedule, self.folder, agent.address, self.record, self.epoch)
-            for i, agent in enumerate(self.agents)
+            SoakProcess(i, port, self.schedule, self.folder, agent.address, self.record, self.epoch)
+            for i, (agent, port) in enumerate(zip(self.agents, ports, strict=True))
         ]
         async with anyio.create_task_group() as starts:
             for process in self.processes:
--- a/runloft/lab/soak/shim.py
+++ b/runloft/lab/soak/shim.py
@@ -24,7 +24,7 @@
     "system-connect": (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN),
     "system-socket": (errno.ENFILE, errno.ENOBUFS, errno.EMFILE),
     "system-option": (errno.EINVAL, errno.ENOBUFS),
-    "system-open": (errno.EIO, errno.ENFILE, errno.ENOSPC),
+    "system-open": (errno.EIO, errno.ENFILE, errno.EMFILE),
 }
 
 
