Let one guard permit sending, repeating, closing and starting, and count violations behind it

Change: core/guard.py (pure, typed: SendPermit, SendRefusal, StartRefusal, CloseReason, CloseRefusal); core/invariants.py checks at the first byte, at answers and at closes what must never happen and logs it with ids; core/counters.py counts why. What connect(2) reports of this machine waits for another connection and says nothing of the node. An attempt that was given up before its first byte can't have run: an unsafe request is refused where it was failed. The object front's time runs from the request's last byte, also while the store is asked, and a client that left meanwhile is begun for no more.

--- /dev/null
+++ b/runloft/core/records.py
@@ -0,0 +1,38 @@
+"""The reducer's own records: requests that are pending, and attempts that are out."""
+
+from dataclasses import dataclass, field
+
+from runloft.core.deadlines import Mark
+from runloft.core.model import Ask, Asker, NodeNews
+from runloft.decisions.contract import Ending
+
+
+@dataclass(slots=True, eq=False)
+class PendingRequest:
+    """A request until it is answered and none of its attempts is out."""
+
+    id: int
+    asker: Asker
+    ask: Ask
+    deadline: int
+    received_at: int = 0
+    sends: int = 0
+    out: dict[int, int] = field(default_factory=dict)  # its number of an attempt -> the attempt
+    over: bool = False
+    streaming: bool = False
+    last: Ending | None = None
+    doubt_at: int | None = None  # when the first attempt left that may have run
+
+
+@dataclass(slots=True, eq=False)
+class Attempt:
+    """One send that has left and has no outcome yet."""
+
+    number: int
+    request: PendingRequest
+    node: int
+    news: NodeNews
+    sent_at: int
+    due: Mark | None = None
+    told: bool = False  # its outcome is out already
+    begun: bool = False  # its first byte was let go
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -6,10 +6,16 @@
 
 from collections import deque
 from collections.abc import Iterable
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, replace
 from itertools import count
 
-from runloft.core.deadlines import Deadlines, Mark
+import structlog
+
+from runloft.core import guard
+from runloft.core.counters import COUNTERS, Counted
+from runloft.core.deadlines import Deadlines
+from runloft.core.guard import SendPermit, SendRefusal, StartRefusal
+from runloft.core.invariants import INVARIANTS
 from runloft.core.model import (
     HELD_NS,
     Abandon,
@@ -39,41 +45,14 @@
     Withheld,
     Written,
 )
+from runloft.core.records import Attempt, PendingRequest
 from runloft.decisions import contract
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
 from runloft.decisions.policy import NEVER_RAN, Scheduler
 
+log = structlog.get_logger()
+UNANSWERED = (Ending.TIMEOUT, Ending.CANCELLED)  # endings that are ours: the node may have nothing of it
 USED_NS = 2_000_000_000  # so long an id that is no longer open is still known
-WIRE_PART = 0.5  # of each bound, for what comes by one wire: a flood on one front leaves room for the other
-
-
-@dataclass(slots=True, eq=False)
-class Open:
-    """A request until it is answered and none of its attempts is out."""
-
-    id: int
-    asker: Asker
-    ask: Ask
-    deadline: int
-    sends: int = 0
-    out: dict[int, int] = field(default_factory=dict)  # its number of an attempt -> the attempt
-    over: bool = False
-    streaming: bool = False
-    last: Ending | None = None
-    doubt_at: int | None = None  # when the first attempt left that may have run
-
-
-@dataclass(slots=True, eq=False)
-class Attempt:
-    """One send that has left and has no outcome yet."""
-
-    number: int
-    request: Open
-    node: int
-    news: NodeNews
-    sent_at: int
-    due: Mark | None = None
-    told: bool = False  # its outcome is out already
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,8 +74,8 @@
         self._holders: dict[int, int] = {}  # shard -> the node listed for it last, where accounts are kept
         self.now = now
         self.scheduler = Scheduler(settings, seed, now)
-        self.requests: dict[int, Open] = {}
-        self.by_asker: dict[Asker, Open] = {}
+        self.requests: dict[int, PendingRequest] = {}
+        self.by_asker: dict[Asker, PendingRequest] = {}
         self.attempts: dict[int, Attempt] = {}
         self.nodes: dict[int, NodeNews] = {}
         self.node_numbers: dict[str, int] = {}
@@ -110,25 +89,18 @@
         """When the next turn is due even if nothing happens; None: not at all."""
         return now if self._next_turn else self.deadlines.next_at()
 
-    def may_begin(self, number: int, now: int) -> int:
-        """Say how long an attempt may be waited for whose first byte would leave now; 0: it may not leave.
+    def permit_first_byte(self, number: int, now: int) -> SendPermit:
+        """Say whether an attempt's first byte may leave now, and for how long it may be waited for."""
+        attempt = self.attempts.get(number)
+        node = self.nodes.get(attempt.node) if attempt else None
+        return guard.permit_first_byte(attempt, node, self.settings, now)
 
-        Guards what was decided at the hand-over: until a connection is up, its client may leave, its node may
-        be told to drain, go or start anew, the window for its repeat may close, its time may run out.
-        """
+    def begin_attempt(self, number: int, told_ns: int, now: int) -> None:
+        """Note that an attempt's first byte leaves, and check once more what must never happen."""
         attempt = self.attempts.get(number)
-        if attempt is None or attempt.request.over or attempt.due is None:
-            return 0
-        request, news = attempt.request, self.nodes.get(attempt.node)
-        if news is None or news.state is not NodeState.READY:
-            return 0
-        if (news.endpoint, news.started_ns) != (attempt.news.endpoint, attempt.news.started_ns):
-            return 0
-        klass = self.settings.classes[request.ask.klass]
-        repeated = request.doubt_at is not None and klass.effect is contract.Effect.KEYED
-        if repeated and now + self.settings.tick_ns >= (request.doubt_at or 0) + klass.window_ns:
-            return 0
-        return max(0, attempt.due[0] - now)
+        if attempt is not None:
+            attempt.begun = True
+            INVARIANTS.first_byte(attempt, self.nodes.get(attempt.node), self.settings, told_ns, now)
 
     def step(self, now: int, events: Iterable[Event]) -> list[Effect]:
         """Take in all that has come, ask the module once, and give what is to be done, in order."""
@@ -184,26 +156,30 @@
         self, asker: Asker, ask: Ask, now: int, told: list[contract.Event], effects: list[Effect]
     ) -> None:
         size, use = ask.payload.held_bytes, self.use.setdefault(ask.payload.wire, [0, 0])
-        full = use[0] >= WIRE_PART * self.bounds.requests
-        full = full or use[1] + size > WIRE_PART * self.bounds.held_bytes
-        if full:  # guards memory, whatever the clients do
-            effects.append(Answer(asker, Refused()))
-            return
-        if self.held.covers(ask.plan, ask.volume):  # on every wire alike
-            effects.append(Answer(asker, Refused(min(HELD_NS, self.settings.max_retry_after_ns or HELD_NS))))
-            return
         name = (ask.payload.wire, ask.id)
-        if ask.id and name in self.ids:
-            # Guards the request that has this id: a node would take the second for a copy of the first.
-            effects.append(Answer(asker, Rejected("this id is another request's")))
+        refusal = guard.permit_start(
+            use[0],
+            use[1],
+            size,
+            self.bounds,
+            id_known=bool(ask.id) and name in self.ids,
+            suspended=guard.is_suspended(self.held, ask.plan, ask.volume),
+        )
+        if refusal is not None:
+            COUNTERS.add(Counted.NOT_STARTED, refusal)
+            effects.append(Answer(asker, self._not_started(refusal)))
             return
+        COUNTERS.add(Counted.STARTED, ask.payload.wire)
         self.ids.add(name)
         use[0], use[1] = use[0] + 1, use[1] + size
-        request = Open(next(self._request_ids), asker, ask, now + ask.time_left_ns)
+        request = PendingRequest(
+            next(self._request_ids), asker, ask, now + ask.time_left_ns, now
+        )
         self.requests[request.id] = self.by_asker[asker] = request
         if self.observer is not None:
             self.observer.taken(request.id, now, ask.volume, ask.klass, ask.plan, ask.units)
             self.observer.held(request.id, now, *self._why(ask.shard, now))
+        log.debug("request", request=request.id, id=ask.id, time_left_ms=ask.time_left_ns // 1_000_000)
         told.append(
             contract.Request(
                 id=request.id,
@@ -220,6 +196,14 @@
             )
         )
 
+    def _not_started(self, refusal: StartRefusal) -> Refused | Rejected:
+        match refusal:
+            case StartRefusal.ID_IN_USE:  # a node would take the second request for a copy of the first
+                return Rejected("this id is another request's")
+            case StartRefusal.SUSPENDED:
+                return Refused(min(HELD_NS, self.settings.max_retry_after_ns or HELD_NS))
+        return Refused()
+
     def _why(self, shard: int | None, now: int) -> tuple[int | None, str]:
         """Say which node a request waits for, and why it may not leave at once."""
         node = self._holders.get(shard) if shard is not None else None
@@ -234,6 +218,8 @@
         request = self.by_asker.get(asker)
         if request is None or request.over:
             return
+        COUNTERS.add(Counted.CANCELLED, SendRefusal.CLIENT_LEFT)
+        log.debug("request cancelled", request=request.id, id=request.ask.id)
         self._over(request)
         if request.streaming:  # the module can't call off a started stream; its connection must go
             for attempt in list(request.out.values()):
@@ -277,12 +263,15 @@
             return  # late news of what has ended
         request, news = attempt.request, attempt.news
         request.last = event.ending
-        if event.ending not in NEVER_RAN and request.doubt_at is None:
+        never_began = event.ending in UNANSWERED and not attempt.begun
+        if event.ending not in NEVER_RAN and not never_began and request.doubt_at is None:
             request.doubt_at = attempt.sent_at
+        log.debug("attempt over", request=request.id, attempt=attempt.number, ending=event.ending.value)
         if self.observer is not None:
             self.observer.returned(event.attempt, now, event.ending)
         if not request.over and event.ending is Ending.OK:
             self._over(request)
+            log.debug("request served", request=request.id, id=request.ask.id, node=news.uid)
             effects.append(Answer(request.asker, Served(event.value, news.uid, news.shard)))
         elif not request.over and request.streaming:  # the client has part of it: this is the end
             self._over(request)
@@ -301,8 +290,9 @@
     ) -> contract.Outcome:
         request = attempt.request
         index = self._index(attempt)
+        never_began = ending in UNANSWERED and not attempt.begun
         return contract.Outcome(
-            request.id, index, attempt.node, ending, request.over, latency, used, elsewhere
+            request.id, index, attempt.node, ending, request.over, latency, used, elsewhere, never_began
         )
 
     def _index(self, attempt: Attempt) -> int:
@@ -314,14 +304,14 @@
         del attempt.request.out[self._index(attempt)]
         del self.attempts[attempt.number]
 
-    def _over(self, request: Open) -> None:
+    def _over(self, request: PendingRequest) -> None:
         """Note that the client has its final answer or is gone; nothing is owed from here on."""
         request.over = True
         if self.observer is not None:
             self.observer.over(request.id, self.now, request.last is Ending.OK)
         del self.by_asker[request.asker]
 
-    def _tidy(self, request: Open) -> None:
+    def _tidy(self, request: PendingRequest) -> None:
         if request.over and not request.out and request.id in self.requests:
             del self.requests[request.id]
             use, payload = self.use[request.ask.payload.wire], request.ask.payload
@@ -382,14 +372,14 @@
         if request is None or news is None:
             self._next_turn.append(contract.Outcome(id_, 0, node, Ending.MOOT, True))
             return
+        refusal = guard.permit_send(request, news, self.settings, now)
         index, request.sends = request.sends, request.sends + 1
-        moot = request.over or now >= request.deadline or index >= self.settings.max_attempts
-        moot = moot or request.ask.shard not in (None, news.shard)
-        # Guards the rule of no second copy, whatever the module asks for.
-        moot = moot or (bool(request.out) and not self.settings.may_duplicate)
-        if moot or news.state is NodeState.GONE:
+        if refusal is not None:
+            COUNTERS.add(Counted.NOT_SENT, refusal)
             self._next_turn.append(contract.Outcome(id_, index, node, Ending.MOOT, request.over))
             return
+        if index:
+            COUNTERS.add(Counted.RETRIED, request.last.value if request.last else "unknown")
         wait = request.deadline - now
         wait = min(timeout_ns, wait) if timeout_ns else wait
         attempt = Attempt(next(self._attempt_ids), request, node, news, now)
@@ -398,6 +388,7 @@
         request.out[index] = attempt.number
         if self.observer is not None:
             self.observer.sent(id_, attempt.number, now, node)
+        log.debug("attempt", request=request.id, id=request.ask.id, attempt=attempt.number, node=news.uid)
         effects.append(Dispatch(attempt.number, news, request.ask.payload, wait))
 
     def _cause(self, id_: int, now: int) -> Ending | None:
@@ -412,5 +403,8 @@
         if request is None or request.over:
             return
         self._over(request)
+        what = Counted.REFUSED if isinstance(reply, Refused) else Counted.FAILED
+        COUNTERS.add(what, reply.cause.value if reply.cause else "not tried")
+        log.debug("request over", request=request.id, id=request.ask.id, reply=type(reply).__name__)
         effects.append(Answer(request.asker, reply))
         self._tidy(request)
--- a/runloft/decisions/contract.py
+++ b/runloft/decisions/contract.py
@@ -150,6 +150,7 @@
     latency_ns: int = 0
     used_percent: int | None = None
     elsewhere_units: int = 0
+    never_began: bool = False  # given up before its first byte left, so that it can't have run
     report: tuple[float, ...] = ()
 
 
--- a/runloft/decisions/policy.py
+++ b/runloft/decisions/policy.py
@@ -546,9 +546,10 @@
             price.learn(now, outcome.latency_ns * self.aim // ticket.klass.aim_ns, mean)
             self.mean_price.value, self.mean_price.at = mean + PRICE_SPREAD * (price.value - mean), now
         ticket.reached |= outcome.ending not in (Ending.CONNECT_FAILED, Ending.MOOT)
-        if outcome.ending not in NEVER_RAN and ticket.doubt_at is None:
+        may_have_run = outcome.ending not in NEVER_RAN and not outcome.never_began
+        if may_have_run and ticket.doubt_at is None:
             ticket.doubt_at, ticket.doubt_node = ticket.sent_at, sent_to
-        self._turn_ended(ticket, outcome.ending, now)
+        self._turn_ended(ticket, outcome.ending if may_have_run else Ending.MOOT, now)
         if ticket.done or outcome.complete:
             self._finish(ticket, now)
             return
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -11,6 +11,7 @@
 
 from runloft.config.settings import Config
 from runloft.core.deadlines import Deadlines
+from runloft.core.guard import CloseReason
 from runloft.core.model import Event
 from runloft.net.sockets import no_delay, nothing_to_read
 from runloft.net.timing import Clock, pause
@@ -50,7 +51,7 @@
     async def run(self) -> None:
         """Serve it until it is over."""
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.FAULT) -> None:
         """Close it."""
 
 
@@ -99,7 +100,7 @@
             if closed >= PART_WITH:
                 return
             if nothing_to_read(client.sock):
-                client.end()
+                client.end(CloseReason.MAKE_ROOM)
                 closed += 1
 
     async def accept(self, listener: socket.socket) -> None:
@@ -167,4 +168,4 @@
             await client.run()
         except Exception:
             log.exception("client")
-            client.end()
+            client.end(CloseReason.FAULT)
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -10,7 +10,7 @@
 import uuid
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qsl, quote, unquote, urlsplit
 from xml.sax.saxutils import escape
 
@@ -20,7 +20,10 @@
 import structlog
 
 from runloft.config.settings import Config, ObjectSettings
+from runloft.core.counters import COUNTERS, Counted
 from runloft.core.deadlines import Deadlines
+from runloft.core.guard import CloseReason
+from runloft.core.invariants import INVARIANTS
 from runloft.core.model import Ask, Event, Failed, Left, Refused, Rejected, Reply, Served, Taken
 from runloft.decisions.contract import Ending
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
@@ -39,6 +42,7 @@
 LOOK_S = 0.04  # between looks at a client that is not read: once it has left nothing of it is sent on
 LINGER_S, LINGER_BYTES = 0.5, 256 << 10  # what is still read, and dropped, behind an early answer
 FREE_ERRORS, SLOW_S, SLOWEST_S = 4, 0.01, 0.25  # a connection that does little but err is read more slowly
+LEAST_TIME_NS = 1_000_000  # left to a request whose client's time is over: it is refused at once
 ONCE = (b"range", b"if-range", b"x-expires-in-ms")  # headers that may stand once at most
 MOST_PART = 10_000
 PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
@@ -128,8 +132,8 @@
 class Exchange:
     """One request's way through the core."""
 
-    def __init__(self) -> None:
-        self.event = anyio.Event()
+    def __init__(self, sock: socket.socket) -> None:
+        self.event, self.sock = anyio.Event(), sock
         self.stream: Stream | None = None
         self.reply: Reply | None = None
         self.shard = -1
@@ -140,8 +144,13 @@
         self.stream, self.shard = value, shard
         self.event.set()
 
+    def has_left(self) -> bool:
+        """Look whether its client ended its sending, whatever is still to be read."""
+        return self.sock.fileno() < 0 or bool(half_closed((self.sock,)))
+
     def answer(self, reply: Reply) -> None:
         """Take the final answer."""
+        INVARIANTS.answered(self.reply is not None, front="objects")
         self.reply = reply
         if isinstance(reply, Served):
             self.shard = reply.shard
@@ -206,14 +215,15 @@
         if self.busy or self.lingers or self.protocol.trailing_data[0] or not nothing_to_read(self.sock):
             return
         if self.front.clock() - self.used_at >= LINGER_S * 1e9:
-            self.end()
+            self.end(CloseReason.SHUTDOWN)
         elif not self.reading.cancel_called:
             self.reading.cancel()
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.CLIENT_LEFT) -> None:
         """Close."""
         if not self.ended:
             self.ended = True
+            COUNTERS.add(Counted.CLIENT_CLOSED, reason)
             close(self.sock)
             self.front.clients.discard(self)
 
@@ -326,11 +336,17 @@
             read += len(event.data)
 
     async def _serve(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> None:
+        arrived_at = self.front.clock()
         try:
             ask, upload = await self.front.ask(asked, headers, body)
         except StoreDownError as error:
             raise self._store_down(error) from None
-        exchange, failure = Exchange(), None
+        exchange, failure = Exchange(self.sock), None
+        if exchange.has_left():  # while the store was asked: nothing of it is begun
+            raise ConnectionResetError("the client closed")
+        # The client's time runs from its request's last byte, also while the store is asked.
+        time_left_ns = ask.time_left_ns - (self.front.clock() - arrived_at)
+        ask = replace(ask, time_left_ns=max(time_left_ns, LEAST_TIME_NS))
         self.front.post(Taken(exchange, ask))
         try:
             async with anyio.create_task_group() as group:
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -5,13 +5,19 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
+from itertools import count
 from typing import Any
 
 import anyio
 import structlog
 
 from runloft.config.settings import Config
+from runloft.core import guard
+from runloft.core.counters import COUNTERS, Counted
 from runloft.core.deadlines import Mark
+from runloft.core.guard import CloseReason
+from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
@@ -48,6 +54,9 @@
 
     def put(self, *parts: bytes) -> None:
         """Fill the place; what is ready at the head of the line is written."""
+        if self.answered:
+            INVARIANTS.violated(Violation.SECOND_ANSWER, client=self.client.number)
+            return
         self.parts, self.answered = parts, True
         self.client.unsent += sum(map(len, parts))
         self.client.flush()
@@ -55,6 +64,10 @@
     def begin(self, value: object, node: str, shard: int) -> None:
         """Pass over: answers of this front come whole."""
 
+    def has_left(self) -> bool:
+        """Look whether its client has gone; one that has is closed."""
+        return self.client.has_left()
+
     def answer(self, reply: Reply) -> None:
         """Write the final answer."""
         match reply:
@@ -74,8 +87,11 @@
 class Client:
     """One client connection."""
 
+    _numbers = count(1)
+
     def __init__(self, front: "RespFront", sock: socket.socket) -> None:
-        self.front, self.sock = front, sock
+        self.front, self.sock, self.number = front, sock, next(self._numbers)
+        self.over_because = CloseReason.CLIENT_LEFT  # why reading ended, where nothing else says so
         self.inbox, self.outbox, self.arrivals = Inbox(COMMAND_LIMIT), Outbox(), ArrivalTimes()
         self.slots: deque[Slot] = deque()
         self.unread_since: int | None = None  # what comes next came then, for all that is known
@@ -97,8 +113,8 @@
             if self.closing:
                 await self._linger()
         except (OSError, BufferError, anyio.ClosedResourceError):
-            pass
-        self.end()
+            self.over_because = CloseReason.CONNECTION_BROKEN
+        self.end(self.over_because)
 
     async def _read(self) -> None:
         while not self.ended and not self.closing:
@@ -107,6 +123,8 @@
                 with self._unread():
                     await self.room.wait()
             elif self._commands():
+                if self.has_left():  # it asked for much and went: what is left of it is not begun
+                    return
                 # Guards the other clients: a flood on one connection gets one turn like all others.
                 slowness = self._slowness()
                 await (self._rest(slowness) if slowness else anyio.sleep(0))
@@ -191,7 +209,7 @@
     def fail(self, reason: str) -> None:
         """Say behind the answers that are owed that nothing more is read, and close after them."""
         if not self.closing and not self.ended:
-            self.closing = True
+            self.closing, self.over_because = True, CloseReason.PROTOCOL_ERROR
             self.reading.cancel()
             self._slot().put(b"-ERR Protocol error: %s\r\n" % reason.encode())
 
@@ -215,7 +233,7 @@
         elif name in (b"CLIENT", b"SELECT"):
             slot.put(b"+OK\r\n")
         elif name == b"QUIT":
-            self.closing = True
+            self.closing, self.over_because = True, CloseReason.CLIENT_QUIT
             slot.put(b"+OK\r\n")
         else:
             self._bad(slot, "unknown command")
@@ -257,7 +275,7 @@
         try:
             done = self.outbox.flush(self.sock)
         except OSError:
-            self.end()
+            self.end(CloseReason.CONNECTION_BROKEN)
             return
         if done:
             self._written()
@@ -275,7 +293,7 @@
             self.writing = False
             self._written()
         except (OSError, anyio.ClosedResourceError):
-            self.end()
+            self.end(CloseReason.CONNECTION_BROKEN)
 
     def _written(self) -> None:
         self.used_at = self.front.clock()
@@ -291,22 +309,37 @@
         """Whether nothing of it is out, half read or unwritten."""
         return not (self.slots or self.outbox.size or self.inbox.start != self.inbox.end)
 
-    def close_if_idle(self) -> None:
+    def has_left(self) -> bool:
+        """Look whether it ended its sending, whatever is still to be read; it is closed then."""
+        if not self.ended and half_closed((self.sock,)):
+            self.end(CloseReason.CLIENT_LEFT)
+        return self.ended
+
+    def may_close(self, reason: CloseReason) -> bool:
+        """Ask the guard; what is already here is read first."""
+        unanswered = [slot for slot in self.slots if not slot.answered]
+        half_read = self.inbox.end - self.inbox.start
+        unwritten = self.outbox.size + self.unsent
+        unread = not (unanswered or unwritten or half_read) and not nothing_to_read(self.sock)
+        return guard.permit_close(reason, unanswered, unwritten, half_read, unread) is None
+
+    def close_if_idle(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Close between requests; one that is already here is read first."""
-        if self.ended or self.closing or not (self.is_idle() and nothing_to_read(self.sock)):
+        if self.ended or self.closing or not (self.is_idle() and self.may_close(reason)):
             return
         if self.front.clock() - self.used_at >= LINGER_NS:
-            self.end()
+            self.end(reason)
             return
-        self.part()
+        self.part(reason)
 
-    def part(self) -> None:
+    def part(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Read nothing more, and close behind the answers that are owed.
 
         Guards the last of them: a request that comes just now would turn a close into a reset that takes it.
         """
         if not self.closing:
             self.closing = self.parting = True
+            self.over_because = reason
             self.reading.cancel()
 
     def _check(self) -> None:
@@ -318,7 +351,7 @@
         if self.ended:
             return
         if self.outbox.size and now - self.moved_at > STUCK_NS:
-            self.end()
+            self.end(CloseReason.NOT_READING)
             return
         if self.closing or now - since < patience:
             pass
@@ -326,7 +359,7 @@
             # Behind what is open on it, if anything: those answers come first.
             self.fail("the command was not whole in time")
         else:
-            self.close_if_idle()
+            self.close_if_idle(CloseReason.IDLE)
         if not self.ended:
             due = min(since + patience, now + CROWD_NS)
             self.mark = front.deadlines.add(due if due > now else now + CROWD_NS // 8, self._check)
@@ -343,7 +376,8 @@
         if self.parting:  # what comes now is not read: its client sends it again elsewhere
             await self._rest(patience / 1e9)
             return
-        mark = self.front.deadlines.add(self.front.clock() + patience, self.end)
+        over = partial(self.end, self.over_because)
+        mark = self.front.deadlines.add(self.front.clock() + patience, over)
         try:
             while left > 0:
                 inbox.start = inbox.end = 0
@@ -359,10 +393,16 @@
         finally:
             self.front.deadlines.discard(mark)
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.FAULT) -> None:
         """Close, and tell of requests that nobody waits for any more."""
         if self.ended:
             return
+        unanswered = sum(not slot.answered for slot in self.slots)
+        own_reason = reason not in guard.OF_THE_CLIENT
+        lost_input = own_reason and not (self.lingering or nothing_to_read(self.sock))
+        INVARIANTS.closed(unanswered, lost_input, own_reason, client=self.number, reason=str(reason))
+        COUNTERS.add(Counted.CLIENT_CLOSED, reason)
+        log.debug("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
         self.ended = True
         self.front.deadlines.discard(self.mark)
         self.front.buffers -= self.buffered
@@ -401,7 +441,7 @@
         gone = half_closed(client.sock for client in self.unread)
         for client in list(self.unread):
             if client.sock.fileno() in gone or not client.read_ahead():
-                client.end()
+                client.end(CloseReason.CLIENT_LEFT)
         self.looking = bool(self.unread)
         if self.looking:
             self.deadlines.add(self.clock() + LOOK_NS, self._look)
@@ -426,7 +466,7 @@
             longest = min(halves, key=lambda c: c.used_at)
             longest.fail("no room for this command")
             if not longest.slots:
-                longest.end()
+                longest.end(CloseReason.PROTOCOL_ERROR)
 
     def relieve_answers(self) -> None:
         """Guard memory against clients that ask for much and read little: who holds most goes first."""
@@ -434,7 +474,7 @@
         while sum(held.values()) > self.answers_most:
             greatest = max(held, key=lambda client: held[client])
             del held[greatest]
-            greatest.end()
+            greatest.end(CloseReason.NOT_READING)
 
     def spared(self) -> list[Client]:
         """Those whose close costs nobody an answer, the least useful first."""
--- a/runloft/lab/soak/clients.py
+++ b/runloft/lab/soak/clients.py
@@ -14,7 +14,11 @@
 from runloft.lab.soak.records import Ending, RequestRecord, RunRecord
 from runloft.lab.soak.schedule import NODES, Schedule, TroubleKind
 
-CLASSES = {"position-read": (b"IO.IN", 1.5), "report-write": (b"IO.OUT", 2.5), "ledger-write": (b"IO.OUT", 1.5)}
+CLASSES = {  # verb, longest wait in seconds
+    "position-read": (b"IO.IN", 1.5),
+    "report-write": (b"IO.OUT", 2.5),
+    "ledger-write": (b"IO.OUT", 1.5),
+}
 GRACE_S = 0.5  # an answer within it after a request's time earns nothing, and is none lost
 PATIENCE_S = 1.5  # beyond that: so late nothing comes any more
 THINK_S = 0.12  # mean time between a client's requests
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -2,10 +2,12 @@
 
 from collections import deque
 from dataclasses import dataclass
+from functools import partial
 
 import anyio
 import h11
 
+from runloft.core.counters import NodeCloseReason
 from runloft.core.deadlines import Mark
 from runloft.core.model import Began, Dispatch, Ended, Held
 from runloft.decisions.contract import Ending
@@ -149,7 +151,9 @@
     def _move(self) -> None:
         link = self.link
         link.deadlines.discard(self.stall)
-        self.stall = link.deadlines.add(link.clock() + STALL_NS, self.end)
+        self.stall = link.deadlines.add(
+            link.clock() + STALL_NS, partial(self.end, NodeCloseReason.STALLED)
+        )
 
     def _head(self, head: h11.Response) -> None:
         assert self.order is not None
@@ -174,11 +178,11 @@
             self.protocol.start_next_cycle()
         self.finished(ended, reusable)
 
-    def end(self) -> None:
+    def end(self, reason: NodeCloseReason = NodeCloseReason.BROKEN) -> None:
         """Close; a reader of the answer learns that it is not whole."""
         if self.ended:
             return
         self.link.deadlines.discard(self.stall)
         if self.stream and not self.stream.whole:
             self.stream.end(False)
-        super().end()
+        super().end(reason)
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -1,5 +1,6 @@
 """Links to storage nodes: pooled connections, one request at a time on each; RESP2's is here."""
 
+import errno
 import socket
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -10,7 +11,9 @@
 import structlog
 
 from runloft.config.settings import Config, address
+from runloft.core.counters import COUNTERS, Counted, NodeCloseReason
 from runloft.core.deadlines import Deadlines, Mark
+from runloft.core.guard import SendPermit, SendRefusal
 from runloft.core.model import Dispatch, Ended, Event, NodeNews, Recalled, Written
 from runloft.decisions.contract import Ending, NodeState
 from runloft.net import resp2
@@ -24,6 +27,23 @@
 REST_NS = 3_000_000  # a second copy of an answer, or noise behind it, comes by then
 OTHERS = 32  # descriptors for all but clients and nodes: listener, watch, log, signals
 FULL_NS = 5_000_000  # until there may be a connection to spare
+LOCAL_RETRY_NS = 20_000_000  # until connecting is tried again that failed on this machine
+# What connect(2) reports of this machine: it says nothing of the node, which has not seen a packet.
+LOCAL_ERRORS = frozenset(
+    (
+        errno.EACCES,
+        errno.EADDRINUSE,
+        errno.EADDRNOTAVAIL,
+        errno.EAGAIN,
+        errno.EMFILE,
+        errno.ENETDOWN,
+        errno.ENETUNREACH,
+        errno.ENFILE,
+        errno.ENOBUFS,
+        errno.ENOMEM,
+        errno.EPERM,
+    )
+)
 STALL_NS = 250_000_000  # a reply that has begun and brings no byte for so long never becomes whole
 
 
@@ -60,12 +80,13 @@
         config: Config,
         *,
         kind: "type[Connection]",
-        may_begin: Callable[[int, int], int],
+        permit: Callable[[int, int], SendPermit],
+        begin: Callable[[int, int, int], None],
         part: int = 4,
         endpoint: Callable[[NodeNews], str] = lambda news: news.endpoint,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
-        self.kind, self.part, self.endpoint, self.may_begin = kind, part, endpoint, may_begin
+        self.kind, self.part, self.endpoint, self.permit, self.begin = kind, part, endpoint, permit, begin
         self.replies = Budget(0)
         self.configure(config)
         self.idle: dict[tuple[str, str], list[Connection]] = {}
@@ -85,7 +106,7 @@
     def dispatch(self, order: Dispatch, patient: bool = True) -> None:
         """Write an attempt on a free connection, or on a new one."""
         # Guards nodes and descriptors: who waited here may have been given up, and needs no connection.
-        if self.waiting.pop(order.attempt, None) and not self.may_begin(order.attempt, self.clock()):
+        if self.waiting.pop(order.attempt, None) and not self.permitted_ns(order.attempt):
             self.post(Recalled(order.attempt))
             return
         place = (order.node.uid, self.endpoint(order.node))
@@ -99,7 +120,7 @@
                 self._unpool(connection)
                 connection.take(order)
                 return
-            connection.end()
+            connection.end(NodeCloseReason.NOT_QUIET)
         if patient and (resting := self.idle.get(place)):  # ready sooner than a new one, at less cost there
             self._wait(order, resting[0].idle_since + REST_NS + 1)
             return
@@ -117,6 +138,26 @@
         connection.take(order)
         self.group.start_soon(connection.run)
 
+    def permitted_ns(self, attempt: int) -> int:
+        """Say how long an attempt may be waited for whose first byte would leave now; 0: it may not leave.
+
+        A client that was not seen just now is looked at first: a loop that was held up acts on a node's
+        failure before it reads that the client has gone.
+        """
+        permit = self.permit(attempt, self.clock())
+        refusal = permit.refusal
+        if refusal is None and permit.verify is not None and permit.verify.has_left():
+            refusal = SendRefusal.CLIENT_LEFT
+        if refusal is not None:
+            COUNTERS.add(Counted.NOT_SENT, refusal)
+            log.debug("attempt not sent", attempt=attempt, reason=str(refusal))
+            return 0
+        return permit.wait_ns
+
+    def wait_for_this_machine(self, order: Dispatch) -> None:
+        """Connect anew in a moment: what failed here says nothing of the node."""
+        self._wait(order, self.clock() + LOCAL_RETRY_NS)
+
     def _wait(self, order: Dispatch, at: int) -> None:
         """Try again then, unless the attempt is given up before."""
         self.waiting[order.attempt] = self.deadlines.add(at, partial(self.dispatch, order, False))
@@ -133,7 +174,7 @@
     def _make_room(self) -> bool:
         for pool in self.idle.values():
             if pool:
-                pool[0].end()
+                pool[0].end(NodeCloseReason.MAKE_ROOM)
                 return True
         return False
 
@@ -143,7 +184,7 @@
         connection = self.out.pop(attempt, None)
         if connection is not None:
             connection.order = None
-            connection.end()
+            connection.end(NodeCloseReason.ATTEMPT_ABANDONED)
 
     def listed(self, nodes: tuple[NodeNews, ...]) -> None:
         """Close idle connections to nodes that have moved or are leaving."""
@@ -152,7 +193,7 @@
                 moved = place[1] != self.endpoint(news) or news.state is not NodeState.READY
                 if place[0] == news.uid and moved:
                     for connection in list(pool):
-                        connection.end()
+                        connection.end(NodeCloseReason.NODE_CHANGED)
 
     def close(self) -> None:
         """Close everything."""
@@ -160,7 +201,7 @@
             self.deadlines.discard(mark)
         for connection in list(self.open):
             connection.order = None
-            connection.end()
+            connection.end(NodeCloseReason.SHUTDOWN)
 
 
 class Connection:
@@ -206,7 +247,7 @@
     def _begin(self, order: Dispatch) -> None:
         """Write an attempt's first bytes, if it may still leave."""
         link = self.link
-        wait = link.may_begin(order.attempt, link.clock())
+        wait = link.permitted_ns(order.attempt)
         if not wait:
             self.finished(Recalled(order.attempt))
             return
@@ -217,6 +258,7 @@
             self.connected = False  # nothing of it has left
             self.end()
             return
+        link.begin(order.attempt, wait, link.clock())
         self._flush()
 
     def _left(self) -> None:
@@ -250,9 +292,11 @@
         link = self.link
         if self.ended:
             return
-        self.mark = link.deadlines.add(link.clock() + link.connect_timeout_ns, self.end)
+        timed_out = partial(self.end, NodeCloseReason.CONNECT_TIMEOUT)
+        self.mark = link.deadlines.add(link.clock() + link.connect_timeout_ns, timed_out)
         try:
-            await connect(self.sock, address(self.place[1]))
+            if not await self._connect():
+                return
             link.deadlines.discard(self.mark)
             self.connected = True
             if self.order is not None:
@@ -274,6 +318,22 @@
         finally:
             self.end()
 
+    async def _connect(self) -> bool:
+        """Connect; False where this machine could not, and the attempt waits for another connection."""
+        try:
+            await connect(self.sock, address(self.place[1]))
+        except OSError as error:
+            order = self.order
+            if self.ended or order is None or error.errno not in LOCAL_ERRORS:
+                raise
+            log.warning("connecting failed on this machine", error=str(error))
+            self.order = None
+            self.link.out.pop(order.attempt, None)
+            self.end(NodeCloseReason.CONNECT_FAILED)
+            self.link.wait_for_this_machine(order)
+            return False
+        return True
+
     def finished(self, ended: Ended | Recalled, reusable: bool = True) -> None:
         """Post an attempt's end; the connection waits for the next one, or closes."""
         # Guards the next request: behind the rest of this one, it would get what this one is answered.
@@ -285,20 +345,22 @@
         if reusable:
             self.idle_since = link.clock()
             link.idle.setdefault(self.place, []).append(self)
-            self.mark = link.deadlines.add(self.idle_since + link.idle_ns, self.end)
+            idle = partial(self.end, NodeCloseReason.IDLE)
+            self.mark = link.deadlines.add(self.idle_since + link.idle_ns, idle)
         else:
-            self.end()
+            self.end(NodeCloseReason.NOT_REUSABLE)
         link.post(ended)
 
     def _release(self) -> None:
         self.link.replies.give(self.reserved)
         self.reserved = 0
 
-    def end(self) -> None:
+    def end(self, reason: NodeCloseReason = NodeCloseReason.BROKEN) -> None:
         """Close, and tell of the attempt on it."""
         if self.ended:
             return
         self.ended = True
+        COUNTERS.add(Counted.NODE_CLOSED, reason)
         self._release()
         self.link._unpool(self)
         close(self.sock)
@@ -330,7 +392,8 @@
             if size > SHORT and not self.reserved:
                 await self._reserve(size + SHORT)
             # Guards the request's time: a reply that stops half-way would be waited for to its end.
-            self.mark = None if self.ended else link.deadlines.add(link.clock() + STALL_NS, self.end)
+            stalled = partial(self.end, NodeCloseReason.STALLED)
+            self.mark = None if self.ended else link.deadlines.add(link.clock() + STALL_NS, stalled)
             return
         reply, inbox.start, clean = piece
         ended = outcome(self.order.attempt, reply)
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -185,7 +185,8 @@
             clock,
             config,
             kind=RespConnection,
-            may_begin=core.may_begin,
+            permit=core.permit_first_byte,
+            begin=core.begin_attempt,
             part=4 if config.objects else 2,  # the other half of the descriptors is the clients'
         )
         fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, config)]
@@ -209,7 +210,8 @@
                 clock,
                 config,
                 kind=HttpConnection,
-                may_begin=core.may_begin,
+                permit=core.permit_first_byte,
+                begin=core.begin_attempt,
                 part=8,
                 endpoint=partial(object_endpoint, config.objects),
             )
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -228,6 +228,7 @@
         asker.sends += 1
         asker.out.add(order.attempt)
         self.attempts[order.attempt] = (asker, self.now)
+        self.core.begin_attempt(order.attempt, order.wait_ns, self.now)
         endings = [Ending.OK, Ending.ERROR, Ending.FULL, Ending.CONNECT_FAILED, Ending.RESET, None]
         if (ending := self.random.choice(endings)) is not None:
             delay = int(self.random.random() ** 3 * 2 * klass.aim_ns)
