Start and reload in spite of reads and sockets that fail for a moment

Cause: listening and load_config were called once (runner._serve, cli.main); Reload took any error of reading for a faulty file. Change: what the machine lacks for a moment is waited for: 3 s for the address, 2 s for the file at the start; a reload reads again every 0.1 s for 3 s, a newer SIGHUP takes its place. A file that is not there or at fault ends the start at once, as before.

--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -6,16 +6,19 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 import anyio
 import structlog
 
 from runloft import __version__
 from runloft.config.faults import ConfigError
-from runloft.config.settings import load_config
+from runloft.config.settings import Config, UnreadableConfigError, load_config
 from runloft.net.runner import serve
 
+READ_TRIES, READ_AGAIN_S = 40, 0.05  # of a configuration that can't be read for a moment
+
 
 def parser(tools: bool = True) -> argparse.ArgumentParser:
     """Describe the sub-commands; without the tools, whose loading would only delay a scheduler's start."""
@@ -86,6 +89,7 @@
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
     )
     # Guards the start: a reload that comes before there is anything to reload waits until ``serve`` heeds it.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
@@ -94,7 +98,7 @@
         print("runloft: no configuration: give --config or set ROUTER_CONFIG", file=sys.stderr)
         return 1
     try:
-        config = load_config(options.config)
+        config = load_when_readable(options.config)
     except ConfigError as error:
         return _faults(error)
     # What is loaded by now stays: collections in the middle of a turn need not walk it.
@@ -104,6 +108,20 @@
     return 0
 
 
+def load_when_readable(path: str, sleep: Callable[[float], None] = time.sleep) -> Config:
+    """Load a configuration; a file that can't be read for a moment is read again, for 2 s at most.
+
+    Raises ConfigError where it is at fault, or could not be read to the end.
+    """
+    for _ in range(READ_TRIES):
+        try:
+            return load_config(path)
+        except UnreadableConfigError as error:
+            structlog.get_logger().warning("configuration can't be read yet", faults=error.faults)
+            sleep(READ_AGAIN_S)
+    return load_config(path)
+
+
 def _lab(options: argparse.Namespace) -> int:
     try:
         # Loaded here: nothing but the laboratory needs it.
--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -4,6 +4,7 @@
 message's path=value form and both sides share one translation.
 """
 
+import errno
 import json
 import math
 from dataclasses import dataclass, field, replace
@@ -53,6 +54,16 @@
     server_port: int = 0  # of object servers whose entry in the list names no address for it
 
 
+# Errors of reading that say nothing of the file: a later try may succeed.
+MOMENTARY_ERRORS = frozenset(
+    (errno.EAGAIN, errno.EINTR, errno.EIO, errno.EMFILE, errno.ENFILE, errno.ENOMEM, errno.ESTALE)
+)
+
+
+class UnreadableConfigError(ConfigError):
+    """A file that could not be read just now, which says nothing of what is in it."""
+
+
 FENCE_LEASES = 1.5  # a fence, unless it is set
 
 
@@ -134,18 +145,29 @@
     return str(value).lower() if isinstance(value, bool) else str(value)
 
 
+def read_file(path: str) -> bytes:
+    """Read a file whole."""
+    return Path(path).read_bytes()
+
+
 def load_config(path: str) -> Config:
     """Read and check the platform's JSON or an operator's TOML, which may hold no unknown keys."""
+    try:
+        data = read_file(path)
+    except OSError as error:
+        if error.errno in MOMENTARY_ERRORS:
+            raise UnreadableConfigError([f"{path}: {error}"]) from error
+        data = None
     if path.endswith(".toml"):
         # Loaded here: the platform's JSON needs neither the records' memory nor their start-up time.
-        from runloft.config.operator import check_file
+        from runloft.config.operator import check_file, check_text
 
-        checked = check_file(path)
+        checked = check_file(path) if data is None else check_text(path, data)
         if faults := serious(checked.faults):
             raise ConfigError(faults)
         return replace(config_from_json(checked.raw), raw=checked.raw)
     try:
-        raw = json.loads(Path(path).read_text())
+        raw = json.loads((read_file(path) if data is None else data).decode())
     except (OSError, ValueError) as error:
         raise ConfigError([f"{path}: {error}"]) from error
     try:
--- a/runloft/lab/soak/shim.py
+++ b/runloft/lab/soak/shim.py
@@ -91,9 +91,9 @@
         created(self, *arguments, **named)
 
     plain.__init__ = create
-    read_text: Any = pathlib.Path.read_text
-    changed: Any = pathlib.Path
-    changed.read_text = failing(faults, "system-open", read_text)
+    files: Any = pathlib.Path
+    files.read_text = failing(faults, "system-open", files.read_text)
+    files.read_bytes = failing(faults, "system-open", files.read_bytes)
     real_time, real_time_ns = time.time, time.time_ns
     time.time = lambda: real_time() + faults.wall_step_ns() / 1e9
     time.time_ns = lambda: real_time_ns() + faults.wall_step_ns()
--- a/runloft/net/reload.py
+++ b/runloft/net/reload.py
@@ -1,18 +1,23 @@
 """Reload: a new configuration file is read, checked, and taken over as far as that goes."""
 
+import time
 from collections.abc import Callable, Iterable
 from dataclasses import replace
+from functools import partial
 from typing import Any, Protocol
 
 import structlog
 
 from runloft.config.faults import ConfigError
-from runloft.config.settings import Config, load_config
+from runloft.config.settings import Config, UnreadableConfigError, load_config
+from runloft.core.deadlines import Deadlines
+from runloft.core.deadlines import Mark as TimerHandle
 from runloft.core.model import Event, Reconfigured
 from runloft.decisions.contract import ListKind
 from runloft.net.discovery import Watch, listed
 
 log = structlog.get_logger()
+READ_TRIES, READ_AGAIN_NS = 30, 100_000_000  # of a file that can't be read: what it says counts 4 s later
 
 
 class Configured(Protocol):
@@ -33,17 +38,35 @@
         post: Callable[[Event], None],
         parts: Iterable[Configured],
         agreed: Callable[[Config], Config] = lambda config: config,
+        *,
+        deadlines: Deadlines | None = None,
+        clock: Callable[[], int] = time.monotonic_ns,
     ) -> None:
         self.path, self.config, self.watch, self.post, self.parts = path, config, watch, post, parts
+        self.deadlines, self.clock = deadlines, clock  # where a reading that failed is tried again
+        self._again: TimerHandle | None = None
         self.agreed = agreed  # puts what is in force over all sidecars in place of what the file says
 
     def __call__(self) -> None:
         """Read the file again; one that can't be served changes nothing."""
+        self._read(READ_TRIES)
+
+    def _read(self, tries: int) -> None:
+        """Read it; where it can't be read for a moment, so many more times."""
+        if self.deadlines is not None:
+            self.deadlines.discard(self._again)
+        self._again = None
         if self.path is None:
             log.warning("reload passed over: the configuration came from no file")
             return
         try:
             fresh = load_config(self.path)
+        except UnreadableConfigError as error:
+            log.warning("reload waits: the file can't be read", faults=error.faults, tries_left=tries)
+            if tries and self.deadlines is not None:
+                again = partial(self._read, tries - 1)
+                self._again = self.deadlines.add(self.clock() + READ_AGAIN_NS, again)
+            return
         except ConfigError as error:
             log.error("reload failed, the old configuration stands", codes=error.codes, faults=error.faults)
             return
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -19,7 +19,7 @@
 from runloft.net.discovery import Watch, listed
 from runloft.net.links import NodeLink, RespConnection
 from runloft.net.reload import Configured, Reload
-from runloft.net.sockets import close, listening
+from runloft.net.sockets import close, listening_when_possible
 from runloft.net.timing import pause
 
 if TYPE_CHECKING:
@@ -190,7 +190,7 @@
             part=4 if config.objects else 2,  # the other half of the descriptors is the clients'
         )
         fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, config)]
-        listeners = [listening(config.listen)]
+        listeners = [await listening_when_possible(config.listen)]
         store = None
         if config.objects:
             # Loaded here: the platform, where it is off, needs neither its memory nor its start-up time.
@@ -202,7 +202,7 @@
             fronts.append(
                 ObjectFront(group, runner.post, deadlines, clock, config, config.objects, store)
             )
-            listeners.append(listening(config.objects.listen))
+            listeners.append(await listening_when_possible(config.objects.listen))
             runner.links["http"] = NodeLink(
                 group,
                 runner.post,
@@ -234,7 +234,7 @@
             host, port = listener.getsockname()
             log.info("serving", name=config.name, front=type(front).__name__, at=f"{host}:{port}")
         parts: list[Configured] = [*fronts, *runner.links.values()]
-        reload = Reload(path, config, watch, runner.post, parts)
+        reload = Reload(path, config, watch, runner.post, parts, deadlines=deadlines, clock=clock)
         if agreeing:
             reload.agreed, agreeing.take = agreeing.agreed, reload.take
             group.start_soon(agreeing.run)
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -1,18 +1,26 @@
 """Small parts that all links and fronts share: buffers, gathered writes, closing."""
 
+import errno
 import select
 import socket
 import sys
 from collections import deque
-from collections.abc import Iterable
+from collections.abc import Awaitable, Callable, Iterable
 from contextlib import suppress
 from itertools import islice
 
 import anyio
 import anyio.lowlevel
+import structlog
+
+log = structlog.get_logger()
 
 GATHER = 64  # parts in one sendmsg
 ABOVE_HEAD = 4096
+LISTEN_TRIES, LISTEN_AGAIN_S = 60, 0.05
+LISTEN_ERRORS = frozenset(
+    (errno.EADDRINUSE, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
+)
 LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, milliseconds
 
 
@@ -133,13 +141,35 @@
 def listening(where: tuple[str, int], backlog: int = 1024) -> socket.socket:
     """Open a listening socket at this address only."""
     sock = socket.socket(socket.AF_INET, socket.SOCK_STREAM)
-    sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-    sock.bind(where)
-    sock.listen(backlog)
-    sock.setblocking(False)
+    try:
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        sock.bind(where)
+        sock.listen(backlog)
+        sock.setblocking(False)
+    except OSError:
+        sock.close()
+        raise
     return sock
 
 
+async def listening_when_possible(
+    where: tuple[str, int], pause: Callable[[float], Awaitable[object]] = anyio.sleep
+) -> socket.socket:
+    """Open a listening socket; what this machine lacks for a moment is waited for, 3 s at most.
+
+    A predecessor listens at the same address for half a second after it was told to end.
+    """
+    for _ in range(LISTEN_TRIES):
+        try:
+            return listening(where)
+        except OSError as error:
+            if error.errno not in LISTEN_ERRORS:
+                raise
+            log.warning("can't listen yet", error=str(error))
+            await pause(LISTEN_AGAIN_S)
+    return listening(where)
+
+
 def no_delay(sock: socket.socket) -> None:
     """Have small writes sent at once; where that can't be set, the connection is used all the same."""
     with suppress(OSError):
