Take back at a final answer what has not begun, and show the guard to be the one way

Cause: an unsafe request whose connection never came up was answered as failed, though nothing of it had left; a client that pipelines or waits was not looked at before a retry.

--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -344,7 +344,9 @@
             case contract.Refuse(id_, retry_after_ns):
                 self._final(id_, Refused(retry_after_ns, self._cause(id_, now)), effects)
             case contract.Fail(id_):
-                self._final(id_, Failed(self._cause(id_, now)), effects)
+                cause = self._cause(id_, now)
+                harmless = self._withdraw(id_, now, effects)
+                self._final(id_, Refused(0, cause) if harmless else Failed(cause), effects)
             case contract.Cancel(id_, index):
                 request = self.requests.get(id_)
                 number = request.out.get(index) if request else None
@@ -367,6 +369,23 @@
             case contract.Probe() | contract.Subscribe():
                 pass  # nodes may not be probed here, and the watch is always open
 
+    def _withdraw(self, id_: int, now: int, effects: list[Effect]) -> bool:
+        """Take back a request's attempts if none has begun; whether it is certain that nothing ran."""
+        request = self.requests.get(id_)
+        if request is None or request.over or request.doubt_at is not None:
+            return False
+        attempts = [self.attempts[number] for number in request.out.values()]
+        # One that was sent in this very step may be written before it could be taken back.
+        if not attempts or any(attempt.begun or attempt.sent_at == now for attempt in attempts):
+            return False
+        for attempt in attempts:
+            effects.append(Abandon(attempt.number))
+            if self.observer is not None:
+                self.observer.returned(attempt.number, now, Ending.CANCELLED)
+            self._next_turn.append(self._outcome(attempt, Ending.CANCELLED, now - attempt.sent_at))
+            self._forget(attempt)
+        return True
+
     def _send(self, id_: int, node: int, timeout_ns: int, now: int, effects: list[Effect]) -> None:
         request, news = self.requests.get(id_), self.nodes.get(node)
         if request is None or news is None:
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -13,7 +13,7 @@
 from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
 from runloft.core.model import Event
-from runloft.net.sockets import no_delay, nothing_to_read
+from runloft.net.sockets import no_delay
 from runloft.net.timing import Clock, pause
 
 log = structlog.get_logger()
@@ -51,6 +51,9 @@
     async def run(self) -> None:
         """Serve it until it is over."""
 
+    def may_close(self, reason: CloseReason) -> bool:
+        """Whether the guard permits to close it for this reason."""
+
     def end(self, reason: CloseReason = CloseReason.FAULT) -> None:
         """Close it."""
 
@@ -99,7 +102,7 @@
         for client in self.spared():
             if closed >= PART_WITH:
                 return
-            if nothing_to_read(client.sock):
+            if client.may_close(CloseReason.MAKE_ROOM):
                 client.end(CloseReason.MAKE_ROOM)
                 closed += 1
 
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -20,6 +20,7 @@
 import structlog
 
 from runloft.config.settings import Config, ObjectSettings
+from runloft.core import guard
 from runloft.core.counters import COUNTERS, Counted
 from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
@@ -207,12 +208,17 @@
             if over > 0:  # guards the other clients against one that repeats what can't be served
                 await pause(self.front.deadlines, self.front.clock, min(SLOWEST_S, SLOW_S * 2.0**over))
 
+    def may_close(self, reason: CloseReason) -> bool:
+        """Ask the guard; what is already here is read first."""
+        half_read, unread = len(self.protocol.trailing_data[0]), not nothing_to_read(self.sock)
+        return guard.permit_close(reason, (self,) if self.busy else (), 0, half_read, unread) is None
+
     def close_if_idle(self) -> None:
         """Close between requests; one that is already here is read first.
 
         Guards the last answer: a request that comes just now would turn a close into a reset that takes it.
         """
-        if self.busy or self.lingers or self.protocol.trailing_data[0] or not nothing_to_read(self.sock):
+        if self.lingers or not self.may_close(CloseReason.SHUTDOWN):
             return
         if self.front.clock() - self.used_at >= LINGER_S * 1e9:
             self.end(CloseReason.SHUTDOWN)
@@ -223,6 +229,9 @@
         """Close."""
         if not self.ended:
             self.ended = True
+            own_reason = reason not in guard.OF_THE_CLIENT
+            lost_input = own_reason and not (self.lingers or nothing_to_read(self.sock))
+            INVARIANTS.closed(self.busy, lost_input, own_reason, front="objects", reason=str(reason))
             COUNTERS.add(Counted.CLIENT_CLOSED, reason)
             close(self.sock)
             self.front.clients.discard(self)
--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -7,6 +7,7 @@
 import tempfile
 from collections import Counter
 from dataclasses import asdict, dataclass
+from enum import StrEnum
 from pathlib import Path
 
 import anyio
@@ -18,6 +19,27 @@
 from runloft.lab.soak.schedule import Schedule, ScheduleError, checked_kinds, draw, read
 
 MOST_SHOWN = 10
+MOST_LAG_S = 0.25
+TIMED_RULES = frozenset(
+    (
+        "late answer",
+        "half a command",
+        "sent after its client left",
+        "told wait",
+        "second copy",
+        "sent to a draining node",
+        "repeat past its window",
+        "late start",
+    )
+)
+
+
+class Verdict(StrEnum):
+    """What became of one seed."""
+
+    PASSED = "passed"
+    FAILED = "FAILED"
+    INCONCLUSIVE = "INCONCLUSIVE, this program was held up itself"
 
 
 @dataclass(frozen=True, slots=True)
@@ -31,6 +53,14 @@
     lag_s: float
     violations: tuple[Violation, ...]
 
+    @property
+    def verdict(self) -> Verdict:
+        """What its violations are worth: times that this program took while it was held up prove nothing."""
+        if not self.violations:
+            return Verdict.PASSED
+        timed = all(one.rule in TIMED_RULES for one in self.violations)
+        return Verdict.INCONCLUSIVE if timed and self.lag_s > MOST_LAG_S else Verdict.FAILED
+
 
 def run(options: argparse.Namespace) -> int:
     """Play; 0 where nothing was broken, 1 where something was, 2 for a wrong use."""
@@ -45,14 +75,17 @@
             _report(results[-1], options)
     except KeyboardInterrupt:
         print("runloft: interrupted, nothing is left running", file=sys.stderr)
-    broken = [one for one in results if one.violations]
+    verdicts = Counter(one.verdict for one in results)
     requests = sum(one.requests for one in results)
-    print(f"{len(results)} of {len(schedules)} seeds played, {requests} requests, {len(broken)} failed")
+    print(
+        f"{len(results)} of {len(schedules)} seeds played, {requests} requests, "
+        f"{verdicts[Verdict.FAILED]} failed, {verdicts[Verdict.INCONCLUSIVE]} inconclusive"
+    )
     if options.output:
         with open(options.output, "a") as out:
             for one in results:
                 out.write(json.dumps(asdict(one) | {"schedule": asdict(one.schedule)}) + "\n")
-    return 1 if broken or len(results) < len(schedules) else 0
+    return 0 if verdicts[Verdict.PASSED] == len(schedules) else 1
 
 
 def schedules_of(options: argparse.Namespace) -> list[Schedule]:
@@ -124,10 +157,9 @@
 
 def _report(result: SeedResult, options: argparse.Namespace) -> None:
     schedule = result.schedule
-    word = "FAILED" if result.violations else "passed"
     served = result.endings.get(str(Ending.SERVED), 0)
     print(
-        f"seed {schedule.seed}: {word}; {len(schedule.troubles)} troubles, {result.requests} requests, "
+        f"seed {schedule.seed}: {result.verdict}; {len(schedule.troubles)} troubles, {result.requests} requests, "
         f"{served} served, {result.attempts} attempts, own lag {result.lag_s * 1000:.0f} ms",
         flush=True,
     )
--- a/tests/conftest.py
+++ b/tests/conftest.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from runloft.core.invariants import INVARIANTS
+
 KNOWN_RED = Path(__file__).parent.parent / "KNOWN-RED.txt"
 MOST_KNOWN = 3
 
@@ -17,6 +19,14 @@
     return {test.strip(): cause.strip() for test, cause, _ in rows}
 
 
+@pytest.fixture(autouse=True)
+def no_invariant_is_violated():
+    """Whatever a test provokes, what must never happen doesn't."""
+    INVARIANTS.counts.clear()
+    yield
+    assert not INVARIANTS.counts
+
+
 def pytest_collection_modifyitems(items):
     known = known_red()
     for item in items:
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -80,7 +80,8 @@
             self.script.plans.append(list(plan))
         effects = self.core.step(self.now, events)
         for effect in effects:
-            if isinstance(effect, Dispatch):  # as a link does whose connection is up
+            # As a link does whose connection is up.
+            if isinstance(effect, Dispatch) and self.core.permit_first_byte(effect.attempt, self.now):
                 self.core.begin_attempt(effect.attempt, effect.wait_ns, self.now)
         return effects
 
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -1,6 +1,7 @@
 """What comes between a decision and its first byte on the wire: real sockets, crossings forced."""
 
 import contextlib
+import errno
 import socket
 
 import anyio
@@ -8,7 +9,7 @@
 
 from runloft.config.settings import config_from_json
 from runloft.core.deadlines import Deadlines
-from runloft.core.model import Ask, Failed, Left, Listed, NodeNews, Taken
+from runloft.core.model import Ask, Failed, Left, Listed, NodeNews, Recalled, Refused, Taken
 from runloft.core.reducer import Core
 from runloft.decisions.contract import Ending, ListKind, NodeState
 from runloft.net import links
@@ -441,3 +442,111 @@
             conn.close()
 
     play(monkeypatch, story)
+
+
+@pytest.mark.parametrize("number", [errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN])
+def test_connecting_that_fails_on_this_machine_says_nothing_of_the_node(monkeypatch, number):
+    """All nodes at once were taken for refusing: their presumed slow start cost 114 of 5,556 requests."""
+
+    async def story(scene):
+        real, left = links.connect, [2]
+
+        async def failing(sock, where):
+            if left[0]:
+                left[0] -= 1
+                raise OSError(number, "for a moment")
+            await real(sock, where)
+
+        monkeypatch.setattr(links, "connect", failing)
+        scene.up.set()
+        asker = scene.take()
+        for tries in (1, 2):
+            await until(lambda tries=tries: left[0] == 2 - tries and scene.link.waiting)
+            assert scene.core.attempts and not scene.link.open
+            scene.turn(links.LOCAL_RETRY_NS // MS)
+        conn = await scene.node()
+        assert await scene.read(conn)
+        node = scene.core.scheduler.nodes[1]
+        assert not (node.refused_at or node.down_since or node.failed or node.shut_until)
+        conn.sendall(BUSY)
+        await until(lambda: scene.runner.events)
+        scene.turn()
+        assert not asker.replies  # one attempt of three is used
+
+    play(monkeypatch, story)
+
+
+def test_an_attempt_that_waits_for_this_machine_ends_with_its_client(monkeypatch):
+    async def story(scene):
+        async def failing(sock, where):
+            raise OSError(errno.EADDRNOTAVAIL, "for good")
+
+        monkeypatch.setattr(links, "connect", failing)
+        asker = scene.take()
+        await until(lambda: scene.link.waiting)
+        scene.runner.post(Left(asker))
+        scene.turn()
+        assert not (scene.link.waiting or scene.link.open or scene.core.attempts)
+
+    play(monkeypatch, story)
+
+
+def test_connecting_that_a_signal_interrupts_goes_on():
+    async def run():
+        listener = socket.create_server(("127.0.0.1", 0))
+        sock = connecting()
+
+        class Interrupted:
+            def connect(self, where):
+                with contextlib.suppress(BlockingIOError):
+                    sock.connect(where)
+                raise InterruptedError
+
+            def __getattr__(self, name):
+                return getattr(sock, name)
+
+        with anyio.fail_after(10):
+            await connect(Interrupted(), listener.getsockname())
+        sock.send(b"x")
+        sock.close()
+        listener.close()
+
+    anyio.run(run)
+
+
+@pytest.mark.parametrize("left", [False, True])
+def test_a_client_is_looked_at_before_a_retry_leaves(monkeypatch, left):
+    """Behind a stop of 0.15 s the node's failure is acted on before the client's end is read."""
+
+    async def story(scene):
+        scene.up.set()
+        asker = scene.take()
+        conn = await scene.node()
+        await scene.read(conn)
+        conn.sendall(BUSY)
+        await until(lambda: scene.runner.events)
+        asker.left = left
+        scene.turn(150)  # the client's end has not been read yet
+        scene.turn(60)  # the retry is due
+        if left:
+            await until(lambda: scene.runner.events)
+            assert isinstance(scene.runner.events[0], Recalled)
+        else:
+            assert await scene.read(conn) or await scene.read(await scene.node())
+
+    play(monkeypatch, story)
+
+
+def test_an_unsafe_request_that_was_given_up_before_its_first_byte_is_refused(monkeypatch):
+    """A time-out counted as one that may have run, though nothing of it had left."""
+
+    async def story(scene):
+        asker = scene.take(deadline=200)
+        assert scene.core.attempts  # its connection is not up
+        scene.turn(198)
+        scene.turn(5)
+        assert [type(reply) for reply in asker.replies] == [Refused]
+
+    rows = settings()["Classes"]
+    classes = [rows[0] | {"Effect": "fragile"}, rows[1]]
+    play(monkeypatch, story, Classes=classes)
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -12,6 +12,7 @@
 
 from runloft.config.settings import config_from_json
 from runloft.core.deadlines import Deadlines
+from runloft.core.guard import CloseReason
 from runloft.core.model import Left, Served, Taken
 from runloft.fronts.resp import IDLE_NS, LINGER_NS, PIPELINED, RespFront
 from runloft.net.sockets import connecting
@@ -71,7 +72,7 @@
             finally:
                 scene.listener.close()
                 for client in list(scene.front.clients):
-                    client.end()
+                    client.end(CloseReason.CLIENT_LEFT)
                 group.cancel_scope.cancel()
 
     anyio.run(run)
--- a/tests/test_momentary_failures.py
+++ b/tests/test_momentary_failures.py
@@ -139,6 +139,7 @@
             pass
 
         (await sockets.listening_when_possible(("127.0.0.1", 0), pause)).close()
+
         def forbidden(where):
             raise OSError(errno.EACCES, "for good")
 
