--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -159,8 +159,8 @@
     schedule = result.schedule
     served = result.endings.get(str(Ending.SERVED), 0)
     print(
-        f"seed {schedule.seed}: {result.verdict}; {len(schedule.troubles)} troubles, {result.requests} requests, "
-        f"{served} served, {result.attempts} attempts, own lag {result.lag_s * 1000:.0f} ms",
+        f"seed {schedule.seed}: {result.verdict}; {len(schedule.troubles)} troubles, "
+        f"{result.requests} requests, {served} served, {result.attempts} attempts, own lag {result.lag_s * 1000:.0f} ms",
         flush=True,
     )
     for violation in result.violations[:MOST_SHOWN]:
