Show by a test that a discovery slower than 0.4 s is never heard

Seen: with an agent that answers each call after 0.45 to 2.4 s the watch stays at its old revision for good: 'watch ended ClosedResourceError rev=41' every 0.45 to 0.65 s. What it has to tell counts as told 6 s later, so a drain is passed over and its node is sent to. Cause: net/discovery.py Watch._watch closes a call 0.4 s (ANSWER_S) after it was made, unanswered, and the next one has as long: no call lives until its answer.

--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -160,7 +160,8 @@
     served = result.endings.get(str(Ending.SERVED), 0)
     print(
         f"seed {schedule.seed}: {result.verdict}; {len(schedule.troubles)} troubles, "
-        f"{result.requests} requests, {served} served, {result.attempts} attempts, own lag {result.lag_s * 1000:.0f} ms",
+        f"{result.requests} requests, {served} served, {result.attempts} attempts, "
+        f"own lag {result.lag_s * 1000:.0f} ms",
         flush=True,
     )
     for violation in result.violations[:MOST_SHOWN]:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -1,5 +1,6 @@
 """The watch's bytes into messages, and a fleet of more than a thousand nodes and peers."""
 
+import contextlib
 import json
 import os
 import re
@@ -144,6 +145,46 @@
     assert new.calls[0][1] == b"/registry/instances?stream=1&index=0"
 
 
+class SlowAgent(Agent):
+    """Answers each call so much later; a crowded one takes the next call only then."""
+
+    def __init__(self, delay, crowded=False):
+        super().__init__()
+        self.delay, self.crowded, self.due, self.free_at = delay, crowded, [], 0.0
+
+    def look(self, now):
+        if not self.crowded or now >= self.free_at:
+            before = len(self.clients)
+            super().look(now)
+            if len(self.clients) > before:
+                self.free_at = now + self.delay
+                self.due.append((self.free_at, self.clients[-1]))
+        while self.due and self.due[0][0] <= now:
+            _, client = self.due.pop(0)
+            with contextlib.suppress(OSError):
+                client.sendall(HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE))
+
+
+@pytest.mark.parametrize("asked", [False])
+@pytest.mark.parametrize("crowded", [False, True])
+@pytest.mark.parametrize("delay", [0.45, 0.9, 1.7, 2.4])
+def test_a_slow_agent_is_heard_in_time_for_what_counts_as_told(delay, crowded, asked):
+    """Each call was given up after 0.4 s: an agent that takes longer was never heard, for good."""
+    agent = SlowAgent(delay, crowded)
+    heard, told = [], []
+
+    def then(now, watch):
+        if watch.rev == 42 and not heard:
+            heard.append(now)
+        if heard and now <= heard[0] + 1.0:
+            told.append(len(watch.post.__self__))
+
+    watched([agent], TOLD_S, asked, then=then)
+    assert heard and heard[0] <= TOLD_S - CALL_S
+    assert told[-1] == 1  # by one watch, the others are closed
+    assert len(agent.calls) <= 9
+
+
 EMPTY = b"1\r\n\n\r\n"
 
 
