Wait for a slow discovery's answer beside new calls

Change: calls are made as often as before while none is answered, but each waits up to 2.5 s (4 s where lists are asked for) beside the later ones; the first that is answered is followed, the others are closed. A move ends all of them. Excluded: one longer limit: a call that a silent agent took is never answered, and what it has at its return counts at once; alternating short and long limits: the same within the long one.

--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -6,7 +6,9 @@
 
 import json
 import re
-from collections.abc import Callable
+from collections.abc import AsyncGenerator, Callable
+from contextlib import aclosing
+from functools import partial
 from typing import Any
 
 import anyio
@@ -14,10 +16,11 @@
 import structlog
 
 from runloft.core.deadlines import Deadlines
+from runloft.core.deadlines import Mark as TimerHandle
 from runloft.core.model import Event, Listed, NodeNews
 from runloft.decisions.contract import ListKind, NodeState
 from runloft.net.sockets import close, connect, connecting
-from runloft.net.timing import pause
+from runloft.net.timing import Clock, pause
 
 log = structlog.get_logger()
 STATES = {
@@ -30,6 +33,8 @@
 SILENCE_NS = 2_500_000_000  # an empty line comes every 2 s
 ANSWER_S = 0.4  # the agent is on this machine and answers at once; what it has when it is back counts at once
 ASKED_ANSWER_S = 2.0  # where lists are asked for, calls are served in turn
+CALL_NS, ASKED_CALL_NS = 2_500_000_000, 4_000_000_000  # a slow agent's answer is waited for beside new calls
+RECEIVED_BYTES = 65536
 BACKOFF_S, BACKOFF_MOST_S = 0.05, 0.2
 ASKED_BACKOFF_MOST_S = 1.0
 LINE_LIMIT = 4 << 20  # of one message: far more than a list of a few thousand nodes takes
@@ -113,6 +118,97 @@
         return [message]
 
 
+class WatchCall:
+    """One call to discovery: made, then answered some time, then followed to its end."""
+
+    def __init__(self, where: tuple[str, int], index: int, deadlines: Deadlines, clock: Clock) -> None:
+        self.where, self.index, self.deadlines, self.clock = where, index, deadlines, clock
+        self.sock = connecting()
+        self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
+        self._silence: TimerHandle | None = None
+
+    async def open(self, most_ns: int) -> None:
+        """Make the call and wait until something comes; it is closed where nothing does for so long."""
+        self._close_after(most_ns)
+        await connect(self.sock, self.where)
+        request = h11.Request(
+            method="GET",
+            target=f"/registry/instances?stream=1&index={self.index}",
+            headers=[("Host", f"{self.where[0]}:{self.where[1]}"), ("Accept", "application/json")],
+        )
+        head = (self.protocol.send(request) or b"") + (self.protocol.send(h11.EndOfMessage()) or b"")
+        while head:
+            try:
+                head = head[self.sock.send(head) :]
+            except BlockingIOError:
+                await anyio.wait_writable(self.sock)
+        await anyio.wait_readable(self.sock)
+
+    async def messages(self) -> AsyncGenerator[dict[str, Any], None]:
+        """Give what discovery says, to the end of the answer or of its lines."""
+        self._close_after(SILENCE_NS)
+        messages = Messages()
+        while True:
+            event = self.protocol.next_event()
+            if event is h11.NEED_DATA:
+                try:
+                    self.protocol.receive_data(self.sock.recv(RECEIVED_BYTES))
+                except BlockingIOError:
+                    await anyio.wait_readable(self.sock)
+                    continue
+                self._close_after(SILENCE_NS)
+            elif isinstance(event, h11.Response) and event.status_code != 200:
+                raise OSError(f"discovery answered {event.status_code}")
+            elif isinstance(event, h11.Data):
+                for message in messages.receive(bytes(event.data)):
+                    yield message
+            elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
+                return
+
+    def _close_after(self, silence_ns: int) -> None:
+        self.deadlines.discard(self._silence)
+        self._silence = self.deadlines.add(self.clock() + silence_ns, partial(close, self.sock))
+
+    def close(self) -> None:
+        """End it."""
+        self.deadlines.discard(self._silence)
+        close(self.sock)
+
+
+class CallRace:
+    """Calls that are out beside each other until the first of them is answered."""
+
+    def __init__(self, deadlines: Deadlines, clock: Clock) -> None:
+        self.deadlines, self.clock = deadlines, clock
+        self.answered: WatchCall | None = None
+        self.ended = 0  # calls that came to nothing
+        self._changed = anyio.Event()
+
+    async def run(self, call: WatchCall, most_ns: int) -> None:
+        """Make a call; it is closed unless it is the first that is answered."""
+        try:
+            await call.open(most_ns)
+            self.answered = self.answered or call
+        except WATCH_ERRORS as error:
+            log.info("call to discovery failed", error=repr(error))
+        finally:
+            if self.answered is not call:
+                call.close()
+                self.ended += 1
+            self._changed.set()
+
+    async def wait(self, seconds: float, or_ended: int | None = None) -> None:
+        """Wait so long, or until one is answered, or, where a number is given, until so many have ended."""
+        ends = self.clock() + int(seconds * 1e9)
+        while self.answered is None and (or_ended is None or self.ended < or_ended) and self.clock() < ends:
+            changed = self._changed = anyio.Event()
+            timer = self.deadlines.add(ends, changed.set)
+            try:
+                await changed.wait()
+            finally:
+                self.deadlines.discard(timer)
+
+
 class Watch:
     """The standing watch of one scheduler."""
 
@@ -123,7 +219,7 @@
         zones: tuple[str, ...],
         post: Callable[[Event], None],
         deadlines: Deadlines,
-        clock: Callable[[], int],
+        clock: Clock,
         asked: bool = False,
     ) -> None:
         self.where, self.rev, self.zones, self.asked = where, rev, zones, asked
@@ -148,59 +244,56 @@
         wait = BACKOFF_S
         while True:
             with anyio.CancelScope() as self._round:
-                wait = await self._rest(wait)
+                wait = await self._watch_once(wait)
             if self._round.cancelled_caught:
                 wait = BACKOFF_S
 
-    async def _rest(self, wait: float) -> float:
+    async def _watch_once(self, wait: float) -> float:
         """Watch until that ends and wait a while; how long the next wait may be."""
+        call = await self._answered_call(wait)
         before = self.rev, self.clock()
         try:
-            await self._watch()
+            async with aclosing(call.messages()) as messages:
+                async for message in messages:
+                    self.rev, self.moved = int(message.get("rev", self.rev)), False
+                    self.post(listed(message, self.zones))
         except WATCH_ERRORS as error:
             log.info("watch ended", error=repr(error), rev=self.rev)
+        finally:
+            call.close()
         lasted = self.clock() - before[1] > SILENCE_NS
-        most = ASKED_BACKOFF_MOST_S if self.asked else BACKOFF_MOST_S
-        wait = BACKOFF_S if lasted or self.rev != before[0] else min(wait * 2, most)
+        wait = BACKOFF_S if lasted or self.rev != before[0] else self._longer(wait)
         await pause(self.deadlines, self.clock, wait)
         return wait
 
-    async def _watch(self) -> None:
-        sock = connecting()
-        # Guards against an agent that takes a call and is silent: back again, it may never answer this one.
-        answer_ns = int((ASKED_ANSWER_S if self.asked else ANSWER_S) * 1e9)
-        silence = self.deadlines.add(self.clock() + answer_ns, lambda: close(sock))
+    def _longer(self, wait: float) -> float:
+        return min(wait * 2, ASKED_BACKOFF_MOST_S if self.asked else BACKOFF_MOST_S)
+
+    async def _answered_call(self, wait: float) -> WatchCall:
+        """Give the first call that is answered; while none is, others are made beside it.
+
+        An agent that is silent may never answer a call that it took while it was, so the next one has to come
+        soon; one that is slow answers a call later than that, so those before are not given up at once.
+        """
+        race = CallRace(self.deadlines, self.clock)
+        answer_s, most_ns = (ASKED_ANSWER_S, ASKED_CALL_NS) if self.asked else (ANSWER_S, CALL_NS)
         try:
-            await connect(sock, self.where)
-            protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
-            request = h11.Request(
-                method="GET",
-                target=f"/registry/instances?stream=1&index={self.index}",
-                headers=[("Host", f"{self.where[0]}:{self.where[1]}"), ("Accept", "application/json")],
-            )
-            head = (protocol.send(request) or b"") + (protocol.send(h11.EndOfMessage()) or b"")
-            while head:
-                try:
-                    head = head[sock.send(head) :]
-                except BlockingIOError:
-                    await anyio.wait_writable(sock)
-            messages = Messages()
-            while True:
-                event = protocol.next_event()
-                if event is h11.NEED_DATA:
-                    await anyio.wait_readable(sock)
-                    data = sock.recv(65536)
-                    protocol.receive_data(data)
-                    self.deadlines.discard(silence)
-                    silence = self.deadlines.add(self.clock() + SILENCE_NS, lambda: close(sock))
-                elif isinstance(event, h11.Response) and event.status_code != 200:
-                    raise OSError(f"discovery answered {event.status_code}")
-                elif isinstance(event, h11.Data):
-                    for message in messages.receive(bytes(event.data)):
-                        self.rev, self.moved = int(message.get("rev", self.rev)), False
-                        self.post(listed(message, self.zones))
-                elif isinstance(event, h11.EndOfMessage | h11.ConnectionClosed):
-                    return
-        finally:
-            self.deadlines.discard(silence)
-            close(sock)
+            async with anyio.create_task_group() as group:
+                while race.answered is None:
+                    ended = race.ended
+                    try:
+                        call = WatchCall(self.where, self.index, self.deadlines, self.clock)
+                    except OSError as error:
+                        log.warning("no socket for a call to discovery", error=str(error))
+                    else:
+                        group.start_soon(race.run, call, most_ns)
+                        await race.wait(answer_s, ended + 1)
+                    await race.wait(wait)
+                    wait = self._longer(wait)
+                group.cancel_scope.cancel()
+        except BaseException:
+            if race.answered is not None:
+                race.answered.close()
+            raise
+        assert race.answered is not None
+        return race.answered
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -165,9 +165,9 @@
                 client.sendall(HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE))
 
 
-@pytest.mark.parametrize("asked", [False])
+@pytest.mark.parametrize("asked", [False, True])
 @pytest.mark.parametrize("crowded", [False, True])
-@pytest.mark.parametrize("delay", [0.45, 0.9, 1.7, 2.4])
+@pytest.mark.parametrize("delay", [0.1, 0.45, 0.9, 1.7, 2.4])
 def test_a_slow_agent_is_heard_in_time_for_what_counts_as_told(delay, crowded, asked):
     """Each call was given up after 0.4 s: an agent that takes longer was never heard, for good."""
     agent = SlowAgent(delay, crowded)
@@ -185,6 +185,25 @@
     assert len(agent.calls) <= 9
 
 
+def test_a_move_ends_all_calls_that_are_out():
+    slow, new = SlowAgent(30.0), Agent()
+    new.answer = HEAD + b"%x\r\n%s\r\n" % (len(LINE), LINE)
+    ends = []
+
+    def then(now, watch):
+        if now > 1.6 and not ends:
+            ends.append(len(slow.calls))
+            watch.move(new.where)
+        if now > 2.0 and len(ends) == 1:
+            for client in slow.clients:
+                client.setblocking(False)
+                assert client.recv(1) == b""
+            ends.append(None)
+
+    assert len(watched([slow, new], 2.2, then=then)) == 1
+    assert len(new.calls) == 1 and ends[0] > 1 and len(slow.calls) == ends[0]
+
+
 EMPTY = b"1\r\n\n\r\n"
 
 
