Take nodes' starts by what is known without the wall clock

Cause: Clock reads Unix time once at the start; boot_ms is held against it (discovery.listed, policy._cold_since). A process that starts while the wall clock is an hour ahead takes nodes that have just started for warm; an hour behind, they stay cold for an hour. Change: core/start_times.py: a start lies at the latest where it was first told; one told as a change lies no earlier than discovery was heard before, where the wall clock has been seen to step or the start would be 30 s too old; the latter shows by how much the clock is off, which counts for all nodes. An entry that makes no sense changes no other node's start. A right clock with late lists changes nothing. Not known: starts of the very first list by a clock that is ahead, until one start is told; steps of some seconds at the start that are never taken back.

--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -189,10 +189,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Listed:
-    """News of the storage nodes."""
+    """News of the storage nodes; ``heard_before``: when discovery was last heard before, 0: unknown."""
 
     kind: ListKind
     nodes: tuple[NodeNews, ...] = ()
+    heard_before: int = 0
 
 
 @dataclass(frozen=True, slots=True)
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -46,6 +46,7 @@
     Written,
 )
 from runloft.core.records import Attempt, PendingRequest
+from runloft.core.start_times import StartTimes
 from runloft.decisions import contract
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
 from runloft.decisions.policy import NEVER_RAN, Scheduler
@@ -78,6 +79,9 @@
         self.by_asker: dict[Asker, PendingRequest] = {}
         self.attempts: dict[int, Attempt] = {}
         self.nodes: dict[int, NodeNews] = {}
+        self.start_times = StartTimes()
+        self.clock_in_doubt = False  # the wall clock has been seen to step
+        self._listed_at = 0
         self.node_numbers: dict[str, int] = {}
         self.ids: set[tuple[str, bytes]] = set()  # by wire: of open requests, and of those just over
         self._used: deque[tuple[int, tuple[str, bytes]]] = deque()
@@ -128,8 +132,8 @@
                         self.observer.written(attempt, now)
                 case Ended():
                     self._ended(event, now, told, effects)
-                case Listed(kind, nodes):
-                    told.append(self._listed(kind, nodes))
+                case Listed():
+                    told.append(self._listed(event, now))
                 case Reconfigured(settings, bounds, held):
                     self.settings, self.bounds, self.held = settings, bounds, held
                     if self.observer is not None:
@@ -212,7 +216,8 @@
             return None, "bound" if shard is None else "no node"
         if news.state is not NodeState.READY:
             return node, "drain"
-        return node, "cold" if now - news.started_ns < self.settings.cold_ns else "bound"
+        started_ns = self.start_times.own_ns(news.uid)
+        return node, "cold" if now - started_ns < self.settings.cold_ns else "bound"
 
     def _leave(self, asker: Asker, told: list[contract.Event], effects: list[Effect]) -> None:
         request = self.by_asker.get(asker)
@@ -318,24 +323,39 @@
             self._used.append((self.now, (payload.wire, request.ask.id)))
             use[0], use[1] = use[0] - 1, use[1] - payload.held_bytes
 
-    def _listed(self, kind: ListKind, nodes: tuple[NodeNews, ...]) -> contract.NodeList:
-        entries = []
+    def _listed(self, event: Listed, now: int) -> contract.NodeList:
+        kind, changed = event.kind, {}
         if kind is not ListKind.DELTA:  # a whole list: who is not on it is gone
-            named = {news.uid for news in nodes}
+            named = {news.uid for news in event.nodes}
             for gone, known in self.nodes.items():
                 if known.uid not in named:
                     self.nodes[gone] = replace(known, state=NodeState.GONE)
-        for news in nodes:
+        shift_ns = self.start_times.shift_ns
+        for news in event.nodes:
+            self._heard_start(event, news, now)
             number = self.node_numbers.get(news.uid)
             if number is None:
                 number = self.node_numbers[news.uid] = next(self._node_ids)
-            self.nodes[number] = news
+            self.nodes[number] = changed[number] = news
             if self.observer is not None:
                 self._holders[news.shard] = number
-            entries.append(
-                contract.NodeEntry(number, news.shard, news.state, news.started_ns, news.zone, news.rating)
-            )
-        return contract.NodeList(kind, tuple(entries))
+        self._listed_at = now
+        if self.start_times.shift_ns != shift_ns:  # all starts are other ones than was thought
+            log.warning("the wall clock is off", shift_ms=self.start_times.shift_ns // 1_000_000)
+            changed = dict(self.nodes) | changed
+        return contract.NodeList(kind, tuple(self._entry(number, news) for number, news in changed.items()))
+
+    def _heard_start(self, event: Listed, news: NodeNews, now: int) -> None:
+        known = news.uid in self.node_numbers
+        is_news = bool(self._listed_at) and (known or event.kind is ListKind.DELTA)
+        since = (event.heard_before or self._listed_at) if is_news else None
+        self.start_times.heard(
+            news.uid, news.started_ns, now, changed_since=since, in_doubt=self.clock_in_doubt
+        )
+
+    def _entry(self, number: int, news: NodeNews) -> contract.NodeEntry:
+        started_ns = self.start_times.own_ns(news.uid)
+        return contract.NodeEntry(number, news.shard, news.state, started_ns, news.zone, news.rating)
 
     def _act(self, action: contract.Action, now: int, effects: list[Effect]) -> None:
         match action:
@@ -364,6 +384,7 @@
                 news = self.nodes.pop(node, None)
                 if news is not None:
                     del self.node_numbers[news.uid]
+                    self.start_times.forget(news.uid)
                     if self.observer is not None:
                         self.observer.forget(node)
             case contract.Probe() | contract.Subscribe():
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -51,7 +51,9 @@
 )
 
 
-def listed(message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None) -> Listed:
+def listed(
+    message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None, heard_before: int = 0
+) -> Listed:
     """Translate one message; entries that make no sense are left out, not obeyed."""
     nodes = []
     for entry in message.get("targets") or ():
@@ -74,7 +76,7 @@
             log.warning("node entry passed over", error=repr(error))
     if kind is None:
         kind = ListKind.FULL if message.get("all") else ListKind.DELTA
-    return Listed(kind, tuple(nodes))
+    return Listed(kind, tuple(nodes), heard_before)
 
 
 class Messages:
@@ -126,6 +128,7 @@
         self.sock = connecting()
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
         self._silence: TimerHandle | None = None
+        self.heard_at = self.heard_before = 0  # when it was last heard, and before that; 0: never
 
     async def open(self, most_ns: int) -> None:
         """Make the call and wait until something comes; it is closed where nothing does for so long."""
@@ -156,6 +159,7 @@
                 except BlockingIOError:
                     await anyio.wait_readable(self.sock)
                     continue
+                self.heard_before, self.heard_at = self.heard_at, self.clock()
                 self._close_after(SILENCE_NS)
             elif isinstance(event, h11.Response) and event.status_code != 200:
                 raise OSError(f"discovery answered {event.status_code}")
@@ -225,6 +229,7 @@
         self.where, self.rev, self.zones, self.asked = where, rev, zones, asked
         self.post, self.deadlines, self.clock = post, deadlines, clock
         self.moved = False  # and nothing has come from there yet
+        self._heard_at = 0  # when a call that has ended was last heard; 0: never
         self._round = anyio.CancelScope()
 
     def move(self, where: tuple[str, int]) -> None:
@@ -256,11 +261,12 @@
             async with aclosing(call.messages()) as messages:
                 async for message in messages:
                     self.rev, self.moved = int(message.get("rev", self.rev)), False
-                    self.post(listed(message, self.zones))
+                    self.post(listed(message, self.zones, heard_before=call.heard_before or self._heard_at))
         except WATCH_ERRORS as error:
             log.info("watch ended", error=repr(error), rev=self.rev)
         finally:
             call.close()
+            self._heard_at = call.heard_at or self._heard_at
         lasted = self.clock() - before[1] > SILENCE_NS
         wait = BACKOFF_S if lasted or self.rev != before[0] else self._longer(wait)
         await pause(self.deadlines, self.clock, wait)
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -32,6 +32,7 @@
 FINISH_NS = 350_000_000  # of those 0.7 s, for what is still open; the rest is for the way out
 LAST_NS = 250_000_000  # for clients to read and close once all is answered
 LATE_NS = 15_000_000
+CLOCK_STEP_NS = 500_000_000  # by which the wall clock has to be off to be in doubt
 
 
 class Clock:
@@ -44,6 +45,10 @@
         """Give the time in nanoseconds."""
         return self._offset + time.monotonic_ns()
 
+    def error_ns(self) -> int:
+        """Give by how much the wall clock is ahead of this one: it was stepped since, or at the start."""
+        return time.time_ns() - self()
+
 
 class Link(Protocol):
     """A way to storage nodes."""
@@ -89,6 +94,7 @@
 
     def __init__(self, core: Core, deadlines: Deadlines, clock: Callable[[], int]) -> None:
         self.core, self.deadlines, self.clock = core, deadlines, clock
+        self.clock_error_ns: Callable[[], int] = lambda: 0
         self.links: dict[str, Link] = {}
         self.events: list[Event] = []
         self._wake = anyio.Event()
@@ -124,6 +130,7 @@
         events, self.events = self.events, []
         for event in events:
             if isinstance(event, Listed):
+                self.core.clock_in_doubt |= abs(self.clock_error_ns()) > CLOCK_STEP_NS
                 for link in self.links.values():
                     link.listed(event.nodes)
         self.carry_out(self.core.step(self.clock(), events))
@@ -160,6 +167,7 @@
 
         core.observer = Ledger(config.settings, config.account_volumes)
     runner = Runner(core, deadlines, clock)
+    runner.clock_error_ns = clock.error_ns
     signals = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with signals as received:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))  # one that came before is heeded now
