--- a/tests/test_local_copy.py
+++ b/tests/test_local_copy.py
@@ -30,6 +30,7 @@
     """The embedded store mapped the file: a page that was not there was a SIGBUS, at each start."""
     copy = LocalCopy(str(tmp_path), "s0")
     copy.keep(Force(3, ONE))
+    copy.close()
 
     def read():
         os.truncate(copy.path, int(copy.path.stat().st_size * part))
