Keep the local copy in a plain file, written in a thread of its own until it is written

Read beside it: Keep was issued once a generation and a write that failed was never tried again; the write was waited for in the task that renews the lease; its age was the wall clock's. Change: the file is written beside the old one, synced and put in its place; CopyWriter writes the newest until it is written, and neither the lease nor the end waits for the disk; the age is time since the machine's start where that is the same one; a directory that can't be read at first is read again for half a second. The version before's copy is still read, without its own reader (lmdb is not needed any more).

--- a/runloft/lab/scale/engine.py
+++ b/runloft/lab/scale/engine.py
@@ -50,7 +50,7 @@
 def versions() -> dict[str, str]:
     """Give what a run was made with."""
     out = {"runloft": __version__, "python": platform.python_version()}
-    for name in ("anyio", "redis", "lmdb"):
+    for name in ("anyio", "redis"):
         try:
             out[name] = version(name)
         except PackageNotFoundError:
--- a/runloft/lab/scale/hollow.py
+++ b/runloft/lab/scale/hollow.py
@@ -166,7 +166,7 @@
         with anyio.CancelScope(shield=True):
             if self.agreeing:
                 await self.agreeing.store.close()
-                self.agreeing.copy.close()
+                self.agreeing.writer.stop()
 
     async def stop(self, leave: bool) -> None:
         """End it: in order, or as one that is killed."""
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -34,7 +34,7 @@
 from runloft.config.settings import AgreementSettings, Config, config_from_json
 from runloft.core.model import Withheld
 from runloft.sharing.agreement import AgreementStore, StoreError
-from runloft.sharing.copy import CopyError, LocalCopy
+from runloft.sharing.copy import CopyError, CopyWriter, LocalCopy
 
 log = structlog.get_logger()
 
@@ -68,6 +68,7 @@
         self.timeout_s = timeout_s = settings.lease_ns / 1e9 / 4  # of one exchange or write
         self.store = store or AgreementStore(settings.store, settings.prefix, settings.lease_ns, timeout_s)
         self.copy = LocalCopy(settings.directory, own.name)
+        self.writer = CopyWriter(self.copy)
         self.standing = Standing()
         self._running = anyio.CancelScope()
         self._told: tuple[Difference, ...] = ()
@@ -85,7 +86,7 @@
     def start(self) -> Config:
         """Begin with the copy that this machine has kept; give what is gone by: without reserves, as yet."""
         try:
-            kept = self.copy.read()
+            kept = self.copy.read_patiently()
         except CopyError as error:
             log.warning("the local copy is passed over", error=str(error))
             kept = None
@@ -165,7 +166,7 @@
             except StoreError as error:
                 log.info("left without the store's knowing", error=str(error))
             await self.store.close()
-        self.copy.close()
+        self.writer.stop()
 
     async def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -177,10 +178,7 @@
                     self.standing.reserves = reserves
                     self.take(self.agreed(self.own))
                 case Keep(force):
-                    try:
-                        await anyio.to_thread.run_sync(self.copy.keep, force)
-                    except CopyError as error:
-                        log.warning("no local copy was kept", error=str(error))
+                    self.writer.keep(force)
                 case Say():
                     self._say(effect)
                 case Restore() | Found() | Extend() | Begin() | Settle():
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -18,9 +18,7 @@
 GATHER = 64  # parts in one sendmsg
 ABOVE_HEAD = 4096
 LISTEN_TRIES, LISTEN_AGAIN_S = 60, 0.05
-LISTEN_ERRORS = frozenset(
-    (errno.EADDRINUSE, errno.EINTR, errno.EMFILE, errno.ENFILE, errno.ENOBUFS, errno.ENOMEM)
-)
+LASTING_ERRORS = frozenset((errno.EACCES, errno.EPERM, errno.EAFNOSUPPORT))  # of listening
 LAST_DATA_RECEIVED = slice(52, 56)  # of struct tcp_info: tcpi_last_data_recv, milliseconds
 
 
@@ -163,7 +161,7 @@
         try:
             return listening(where)
         except OSError as error:
-            if error.errno not in LISTEN_ERRORS:
+            if error.errno in LASTING_ERRORS:
                 raise
             log.warning("can't listen yet", error=str(error))
             await pause(LISTEN_AGAIN_S)
--- a/tests/test_sharing.py
+++ b/tests/test_sharing.py
@@ -303,33 +303,30 @@
 
 def test_a_copy_is_read_back_with_its_age(tmp_path):
     clock = [10**18]
-    copy = LocalCopy(str(tmp_path / "deep"), "s0", lambda: clock[0])
+    copy = LocalCopy(str(tmp_path / "deep"), "s0", lambda: clock[0], lambda: None)
     assert copy.read() is None
     force = Force(3, ONE, 7, TWO, "t.0", "me")
     copy.keep(Force(2, TWO))
     copy.keep(force)
-    copy.close()
     clock[0] += 90 * 10**9
     assert copy.read() == Copy(force, 90.0)
     clock[0] -= 10**12
     assert copy.read().age_s == 0.0
-    copy.close()
 
 
 @pytest.mark.parametrize("harm", ["cut", "noise", "sum", "newer", "foreign", "empty"])
 def test_a_copy_that_can_not_be_trusted_is_told(tmp_path, harm):
     copy = LocalCopy(str(tmp_path), "s0")
     copy.keep(Force(3, ONE))
-    copy.close()
     data = copy.path.read_bytes()
     if harm == "cut":
-        copy.path.write_bytes(data[:2000])
+        copy.path.write_bytes(data[:-9])
     elif harm == "noise":
         copy.path.write_bytes(b"\x07" * len(data))
     elif harm == "sum":
         copy.path.write_bytes(data.replace(b'"Parts', b'"Carts').replace(b'Parts\\"', b'Carts\\"'))
     elif harm == "newer":
-        copy.path.write_bytes(data.replace(b"runloft-copy-1", b"runloft-copy-2"))
+        copy.path.write_bytes(data.replace(b"runloft-copy-2", b"runloft-copy-3"))
     elif harm == "foreign":
         shutil.copy(copy.path, tmp_path / "s1.copy")
         copy = LocalCopy(str(tmp_path), "s1")
@@ -339,7 +336,6 @@
         return
     with pytest.raises(CopyError):
         copy.read()
-    copy.close()
 
 
 class Sidecars:
