Say why connections, requests and attempts ended: by id at debug, in totals, as metrics

Cause: a lost request could not be followed: no line named its id behind the front, and closes had no reason. No line a request at info.

--- a/runloft/core/invariants.py
+++ b/runloft/core/invariants.py
@@ -41,6 +41,10 @@
         self.counts[kind] += 1
         log.error("invariant violated", kind=str(kind), **ids)
 
+    def totals(self) -> dict[str, int]:
+        """Give what has been counted."""
+        return {str(kind): count for kind, count in self.counts.items()}
+
     def first_byte(
         self, attempt: Attempt, node: NodeNews | None, settings: Settings, told_ns: int, now: int
     ) -> None:
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -225,6 +225,7 @@
             except BadCommandError as error:
                 self._bad(slot, str(error))
                 return
+            log.debug("command", client=self.number, id=ask.id)
             self.errors = min(self.errors, FREE_ERRORS)
             self.front.post(Taken(slot, ask))
         elif name == b"PING":
--- a/runloft/net/admin.py
+++ b/runloft/net/admin.py
@@ -8,6 +8,8 @@
 from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
 
 from runloft.accounts.ledger import OTHERS, Ledger, VolumeTotals
+from runloft.core.counters import COUNTERS
+from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.reducer import Core
 
 if TYPE_CHECKING:  # it brings the store's client along, which metrics need not
@@ -28,6 +30,7 @@
         requests = GaugeMetricFamily("runloft_open_requests", "Requests that have no final answer yet.")
         requests.add_metric([], len(self.core.requests))
         yield requests
+        yield from _reasons()
         if isinstance(self.core.observer, Ledger):
             yield from _accounts(self.core.observer)
         standing = self.standing
@@ -46,6 +49,7 @@
         for name, text, count in (
             ("runloft_agreement_exchanges", "Exchanges with the store.", standing.exchanges),
             ("runloft_agreement_failures", "Exchanges that failed.", standing.failures),
+            ("runloft_agreement_copy_failures", "Failed writes of the copy.", standing.copy_failures),
         ):
             counter = CounterMetricFamily(name, text)
             counter.add_metric([], count)
@@ -64,6 +68,23 @@
         yield held
 
 
+def _reasons() -> Iterator[Metric]:
+    """Give why requests and connections ended as they did, and what must never happen: bounded sets."""
+    ended = CounterMetricFamily(
+        "runloft_reasons", "Requests, attempts and connections by reason.", labels=["what", "reason"]
+    )
+    for what, reasons in COUNTERS.by.items():
+        for reason, count in tuple(reasons.items()):
+            ended.add_metric([str(what), str(reason)], count)
+    yield ended
+    violations = CounterMetricFamily(
+        "runloft_invariant_violations", "What must never happen, and did.", labels=["kind"]
+    )
+    for kind in Violation:
+        violations.add_metric([str(kind)], INVARIANTS.counts[kind])
+    yield violations
+
+
 def _accounts(ledger: Ledger) -> Iterator[Metric]:
     """Give the accounts of the worst volumes: labels are bounded, whatever clients send."""
     parts = CounterMetricFamily(
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -50,6 +50,7 @@
     held: tuple[str, ...] = ()
     copy_age_s: float = -1.0
     failures: int = 0
+    copy_failures: int = 0
     exchanges: int = 0
     sayings: list[str] = field(default_factory=list)
 
@@ -156,6 +157,7 @@
                 await anyio.sleep(wait / 1e9)
             await self._carry_out(self.member.due(self.clock()))
             self.standing.connected = self.member.connected(self.clock())
+            self.standing.copy_failures = self.writer.failures
 
     async def stop(self) -> None:
         """Leave in order, if the store answers soon; no exchange comes after that and takes it back."""
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from functools import partial
+from itertools import count
 
 import anyio
 import anyio.abc
@@ -207,8 +208,10 @@
 class Connection:
     """One connection to a node; it carries at most one attempt.  Each wire has its own kind."""
 
+    _numbers = count(1)
+
     def __init__(self, link: NodeLink, place: tuple[str, str]) -> None:
-        self.link, self.place = link, place
+        self.link, self.place, self.number = link, place, next(self._numbers)
         self.sock: socket.socket = connecting()
         self.inbox, self.outbox = Inbox(self.inbox_limit()), Outbox()
         self.reserved = 0
@@ -258,6 +261,7 @@
             self.connected = False  # nothing of it has left
             self.end()
             return
+        log.debug("attempt begins", attempt=order.attempt, connection=self.number, wait_ms=wait // 1_000_000)
         link.begin(order.attempt, wait, link.clock())
         self._flush()
 
@@ -361,6 +365,7 @@
             return
         self.ended = True
         COUNTERS.add(Counted.NODE_CLOSED, reason)
+        log.debug("node connection closed", connection=self.number, node=self.place[0], reason=str(reason))
         self._release()
         self.link._unpool(self)
         close(self.sock)
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -11,7 +11,9 @@
 import structlog
 
 from runloft.config.settings import Config, ObjectSettings
+from runloft.core.counters import COUNTERS
 from runloft.core.deadlines import Deadlines
+from runloft.core.invariants import INVARIANTS
 from runloft.core.model import Abandon, Answer, Begin, Closing, Dispatch, Effect, Event, Listed, NodeNews
 from runloft.core.reducer import Core
 from runloft.decisions.contract import ListKind
@@ -174,6 +176,7 @@
         await _serve(config, path, runner, received, agreeing)
         # Guards the exit code: what is left is the way out, whatever signal still comes.
         signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    log.info("totals", name=config.name, violations=INVARIANTS.totals(), **COUNTERS.totals())
     log.info("stopped", name=config.name)
 
 
--- a/tests/standins.py
+++ b/tests/standins.py
@@ -235,10 +235,10 @@
 class Program:
     """runloft as the platform starts it."""
 
-    def __init__(self, raw, path, env=None, descriptors=None):
+    def __init__(self, raw, path, env=None, descriptors=None, verbose=False):
         self.path = path
         path.write_text(json.dumps(raw))
-        command = [sys.executable, "-m", "runloft", "serve"]
+        command = [sys.executable, "-m", "runloft", "serve", *(["--verbose"] if verbose else [])]
         self.process = subprocess.Popen(
             command, stderr=subprocess.PIPE, text=True, env=os.environ | {"ROUTER_CONFIG": str(path)}
         )
