Refuse at the end what was read behind a full pipeline

Cause: Client.part cancels reading at the last stop; whole commands that were in the buffer and not parsed were dropped unanswered. Reading ahead makes more of them. Change: they are refused before the client is parted with; nothing of them is begun. Excluded by tests that pass on the code before too: SIGTERM while an answer is half written to a slow reader that pipelines more; SIGHUP and SIGTERM in one turn (both are heeded, exit 0). Measured: both cases of the new test fail without the change.

--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -338,10 +338,24 @@
         Guards the last of them: a request that comes just now would turn a close into a reset that takes it.
         """
         if not self.closing:
+            self._refuse_what_was_read()
             self.closing = self.parting = True
             self.over_because = reason
             self.reading.cancel()
 
+    def _refuse_what_was_read(self) -> None:
+        """Answer the whole commands that were read and not begun: who reads them can't close without a word."""
+        inbox = self.inbox
+        while inbox.start < inbox.end:
+            try:
+                piece = resp2.parse_command(inbox.data, inbox.start, inbox.end)
+            except resp2.RespError:
+                return
+            if piece is None:
+                return
+            _, inbox.start = piece
+            self._slot().put(b"-BUSY\r\n")
+
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
         front, now = self.front, self.front.clock()
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -17,10 +17,11 @@
 from runloft.fronts.resp import IDLE_NS, LINGER_NS, PIPELINED, RespFront
 from runloft.net.sockets import connecting
 from tests.driver import MS, SECOND
-from tests.standins import Discovery, RespNode, config, entry, reset
+from tests.standins import Discovery, Program, RespNode, config, entry, reset, until
 from tests.test_discovery import read_command
 
 QUIT, BAD = b"*1\r\n$4\r\nQUIT\r\n", b"*1\r\n$3\r\nBAD\r\n"
+BUSY = b"-BUSY\r\n"
 PING = b"*1\r\n$4\r\nPING\r\n"
 
 
@@ -358,3 +359,98 @@
         process.stderr.close()
         discovery.close()
         node.close()
+
+
+@pytest.mark.parametrize("more", [9, PIPELINED + 20])
+def test_commands_that_were_read_behind_a_full_pipeline_are_answered_at_the_end(more):
+    """They were read, and dropped unanswered when the last close came."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.sendall(read_command(0) * (PIPELINED + more) + read_command(0)[:-9])
+        await scene.until(lambda: len(scene.taken()) == PIPELINED)
+        for _ in range(6):  # what fits is read ahead
+            scene.wait(10)
+        client = next(iter(scene.front.clients))
+        assert client.inbox.end > client.inbox.start
+        scene.front.stop(last=True)
+        for asker in scene.taken():
+            asker.answer(Served(b"ok"))
+        await scene.until(lambda: scene.wait(10) or client.lingering)
+        answers = b""
+        while got := sock.recv(65536):
+            answers += got
+        assert answers == b"$2\r\nok\r\n" * PIPELINED + BUSY * more
+        assert len(scene.taken()) == PIPELINED  # and nothing of them was begun
+        scene.wait(101)
+        await scene.until(lambda: not scene.front.clients)
+        sock.close()
+
+    play(story)
+
+
+def test_who_pipelines_more_behind_a_half_written_answer_is_answered_whole():
+    """SIGTERM while an answer waits for a slow reader: nothing of it is cut, what is read has its answer."""
+
+    async def story(scene):
+        sock = scene.connect()
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 65536)
+        sock.sendall(read_command(0))
+        await scene.until(scene.taken)
+        value = b"v" * (4 << 20)
+        scene.taken()[0].answer(Served(value))
+        client = next(iter(scene.front.clients))
+        assert client.writing and client.outbox.size
+        scene.front.stop()
+        sock.sendall(read_command(0) * 3)
+        await scene.until(lambda: len(scene.taken()) == 4)
+        scene.front.stop()
+        assert not client.ended and not client.closing
+        for asker in scene.taken()[1:]:
+            asker.answer(Served(b"ok"))
+        scene.front.stop(last=True)
+        wanted = len(value) + len(b"$4194304\r\n\r\n") + 3 * len(b"$2\r\nok\r\n")
+
+        def read():
+            size, last = 0, b""
+            while got := sock.recv(1 << 20):
+                size, last = size + len(got), got
+            return size, last
+
+        with anyio.fail_after(10):
+            async with anyio.create_task_group() as group:
+
+                async def ticks():
+                    while not client.ended:
+                        scene.wait(1)
+                        await anyio.sleep(0.001)
+
+                group.start_soon(ticks)
+                size, last = await anyio.to_thread.run_sync(read)
+                group.cancel_scope.cancel()
+        assert size == wanted and last.endswith(b"$2\r\nok\r\n" * 3)
+        sock.close()
+
+    play(story)
+
+
+def test_a_reload_and_the_end_that_come_in_one_turn_are_both_heeded(tmp_path):
+    discovery, moved, node = Discovery(), Discovery(), RespNode(delay=0.3)
+    raw = config(discovery.address, [entry(node.address)])
+    program = Program(raw, tmp_path / "config.json")
+    try:
+        with program.connect() as sock:
+            sock.sendall(read_command(0))
+            until(lambda: node.connections)
+            program.process.send_signal(signal.SIGSTOP)
+            program.path.write_text(json.dumps(raw | {"discovery": moved.address}))
+            program.process.send_signal(signal.SIGHUP)
+            program.process.send_signal(signal.SIGTERM)
+            program.process.send_signal(signal.SIGCONT)
+            assert sock.recv(100) == b"$2\r\nok\r\n"
+            until(lambda: moved.asked)
+        assert program.process.wait(15) == 0
+    finally:
+        program.close()
+        for server in (discovery, moved, node):
+            server.close()
