--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -344,7 +344,7 @@
             self.reading.cancel()
 
     def _refuse_what_was_read(self) -> None:
-        """Answer the whole commands that were read and not begun: who reads them can't close without a word."""
+        """Refuse the whole commands that were read and not begun; none is left without an answer."""
         inbox = self.inbox
         while inbox.start < inbox.end:
             try:
