Count what a full read leaves in the socket as old as what it took

The log has the requests with 590 ms left where 407 were. Cause: a flood is read piece by piece between turns, and each piece counted as having come when it was read. Change: what follows a read that filled its buffer is as old as that read, until one does not fill it. Measured: the new test fails without the change.

--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -151,10 +151,13 @@
         except BlockingIOError:
             self.unread_since, self.accepted_late = None, False  # what comes next comes now
             raise
-        now = self.front.clock()
-        if self.accepted_late:
-            now -= data_age_ns(self.sock)
-        self.arrivals.add(got, now if self.unread_since is None else self.unread_since)
+        came_at = self.unread_since
+        if came_at is None:
+            came_at = self.front.clock() - (data_age_ns(self.sock) if self.accepted_late else 0)
+        self.arrivals.add(got, came_at)
+        # A read that filled the buffer may have left bytes in the socket, which are as old as these.
+        self.unread_since = came_at if self.inbox.is_filled() else None
+        self.accepted_late = self.accepted_late and self.inbox.is_filled()
         self._account()
         return got
 
--- a/runloft/net/sockets.py
+++ b/runloft/net/sockets.py
@@ -51,6 +51,10 @@
         if lack > 0:
             self.data.extend(bytes(lack))
 
+    def is_filled(self) -> bool:
+        """Whether the last read took all that there was room for: more may be waiting."""
+        return self.end == len(self.data)
+
     def is_full(self) -> bool:
         """Whether nothing more fits until something of it has been understood."""
         return self.end - self.start >= self.limit
--- a/tests/test_told_wait.py
+++ b/tests/test_told_wait.py
@@ -1,6 +1,7 @@
 """What is left to a client counts from when its request came, however much later it was taken."""
 
 import socket
+from itertools import pairwise
 
 import anyio
 import pytest
@@ -109,3 +110,26 @@
         sock.close()
 
     play(story)
+
+
+def test_a_flood_that_takes_time_to_take_counts_from_when_it_came():
+    """Read piece by piece, each piece counted as new, though all of it had been in the socket."""
+
+    async def story(scene):
+        sock = scene.connect()
+        await anyio.to_thread.run_sync(sock.sendall, read_command(0) * PIPELINED)
+        real, taking = scene.front.post, []
+
+        def post(event):
+            scene.now += 5 * MS  # each takes a while
+            taking.append(event)
+            real(event)
+
+        scene.front.post = post
+        await scene.until(lambda: len(scene.taken()) == PIPELINED)
+        left = left_ms(scene)
+        assert left[0] >= D_MS - 50 and left[-1] <= D_MS - 5 * (PIPELINED - 1)
+        assert all(later <= sooner for sooner, later in pairwise(left))
+        sock.close()
+
+    play(story)
