--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -15,6 +15,7 @@
 from runloft import __version__
 from runloft.config.faults import ConfigError
 from runloft.config.settings import Config, UnreadableConfigError, load_config
+from runloft.core.trace import trace
 from runloft.net.runner import serve
 
 READ_TRIES, READ_AGAIN_S = 40, 0.05  # of a configuration that can't be read for a moment
@@ -86,6 +87,7 @@
     if options.command == "lab":
         return _lab(options)
     level = logging.DEBUG if options.verbose else logging.INFO
+    trace.enabled = options.verbose
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
--- a/runloft/core/counters.py
+++ b/runloft/core/counters.py
@@ -10,7 +10,6 @@
 
     CLIENT_CLOSED = "client connections closed"
     NODE_CLOSED = "node connections closed"
-    STARTED = "requests started"
     NOT_STARTED = "requests not started"
     NOT_SENT = "attempts not sent"
     RETRIED = "requests retried"
@@ -39,6 +38,7 @@
     """Counts by what and why."""
 
     def __init__(self) -> None:
+        self.requests_started = 0
         self.by: dict[Counted, Counter[str]] = {what: Counter() for what in Counted}
 
     def add(self, what: Counted, reason: str) -> None:
@@ -47,7 +47,7 @@
 
     def totals(self) -> dict[str, Any]:
         """Give what has been counted, by names that a log line can carry."""
-        return {
+        return {"requests_started": self.requests_started} | {
             str(what).replace(" ", "_"): {str(reason): count for reason, count in reasons.items()}
             for what, reasons in self.by.items()
             if reasons
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -47,6 +47,7 @@
 )
 from runloft.core.records import Attempt, PendingRequest
 from runloft.core.start_times import StartTimes
+from runloft.core.trace import trace
 from runloft.decisions import contract
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
 from runloft.decisions.policy import NEVER_RAN, Scheduler
@@ -173,7 +174,7 @@
             COUNTERS.add(Counted.NOT_STARTED, refusal)
             effects.append(Answer(asker, self._not_started(refusal)))
             return
-        COUNTERS.add(Counted.STARTED, ask.payload.wire)
+        COUNTERS.requests_started += 1
         self.ids.add(name)
         use[0], use[1] = use[0] + 1, use[1] + size
         request = PendingRequest(
@@ -183,7 +184,8 @@
         if self.observer is not None:
             self.observer.taken(request.id, now, ask.volume, ask.klass, ask.plan, ask.units)
             self.observer.held(request.id, now, *self._why(ask.shard, now))
-        log.debug("request", request=request.id, id=ask.id, time_left_ms=ask.time_left_ns // 1_000_000)
+        if trace.enabled:
+            trace("request", request=request.id, id=ask.id, time_left_ms=ask.time_left_ns // 1_000_000)
         told.append(
             contract.Request(
                 id=request.id,
@@ -224,7 +226,8 @@
         if request is None or request.over:
             return
         COUNTERS.add(Counted.CANCELLED, SendRefusal.CLIENT_LEFT)
-        log.debug("request cancelled", request=request.id, id=request.ask.id)
+        if trace.enabled:
+            trace("request cancelled", request=request.id, id=request.ask.id)
         self._over(request)
         if request.streaming:  # the module can't call off a started stream; its connection must go
             for attempt in list(request.out.values()):
@@ -271,12 +274,14 @@
         never_began = event.ending in UNANSWERED and not attempt.begun
         if event.ending not in NEVER_RAN and not never_began and request.doubt_at is None:
             request.doubt_at = attempt.sent_at
-        log.debug("attempt over", request=request.id, attempt=attempt.number, ending=event.ending.value)
+        if trace.enabled:
+            trace("attempt over", request=request.id, attempt=attempt.number, ending=event.ending.value)
         if self.observer is not None:
             self.observer.returned(event.attempt, now, event.ending)
         if not request.over and event.ending is Ending.OK:
             self._over(request)
-            log.debug("request served", request=request.id, id=request.ask.id, node=news.uid)
+            if trace.enabled:
+                trace("request served", request=request.id, id=request.ask.id, node=news.uid)
             effects.append(Answer(request.asker, Served(event.value, news.uid, news.shard)))
         elif not request.over and request.streaming:  # the client has part of it: this is the end
             self._over(request)
@@ -428,7 +433,8 @@
         request.out[index] = attempt.number
         if self.observer is not None:
             self.observer.sent(id_, attempt.number, now, node)
-        log.debug("attempt", request=request.id, id=request.ask.id, attempt=attempt.number, node=news.uid)
+        if trace.enabled:
+            trace("attempt", request=request.id, id=request.ask.id, attempt=attempt.number, node=news.uid)
         effects.append(Dispatch(attempt.number, news, request.ask.payload, wait))
 
     def _cause(self, id_: int, now: int) -> Ending | None:
@@ -445,6 +451,7 @@
         self._over(request)
         what = Counted.REFUSED if isinstance(reply, Refused) else Counted.FAILED
         COUNTERS.add(what, reply.cause.value if reply.cause else "not tried")
-        log.debug("request over", request=request.id, id=request.ask.id, reply=type(reply).__name__)
+        if trace.enabled:
+            trace("request over", request=request.id, id=request.ask.id, reply=type(reply).__name__)
         effects.append(Answer(request.asker, reply))
         self._tidy(request)
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -19,6 +19,7 @@
 from runloft.core.guard import CloseReason
 from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core.trace import trace
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
@@ -228,7 +229,8 @@
             except BadCommandError as error:
                 self._bad(slot, str(error))
                 return
-            log.debug("command", client=self.number, id=ask.id)
+            if trace.enabled:
+                trace("command", client=self.number, id=ask.id)
             self.errors = min(self.errors, FREE_ERRORS)
             self.front.post(Taken(slot, ask))
         elif name == b"PING":
@@ -419,7 +421,8 @@
         lost_input = own_reason and not (self.lingering or nothing_to_read(self.sock))
         INVARIANTS.closed(unanswered, lost_input, own_reason, client=self.number, reason=str(reason))
         COUNTERS.add(Counted.CLIENT_CLOSED, reason)
-        log.debug("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
+        if trace.enabled:
+            trace("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
         self.ended = True
         self.front.deadlines.discard(self.mark)
         self.front.buffers -= self.buffered
--- a/runloft/net/admin.py
+++ b/runloft/net/admin.py
@@ -70,6 +70,9 @@
 
 def _reasons() -> Iterator[Metric]:
     """Give why requests and connections ended as they did, and what must never happen: bounded sets."""
+    started = CounterMetricFamily("runloft_requests_started", "Requests that were taken on.")
+    started.add_metric([], COUNTERS.requests_started)
+    yield started
     ended = CounterMetricFamily(
         "runloft_reasons", "Requests, attempts and connections by reason.", labels=["what", "reason"]
     )
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -16,6 +16,7 @@
 from runloft.core.deadlines import Deadlines, Mark
 from runloft.core.guard import SendPermit, SendRefusal
 from runloft.core.model import Dispatch, Ended, Event, NodeNews, Recalled, Written
+from runloft.core.trace import trace
 from runloft.decisions.contract import Ending, NodeState
 from runloft.net import resp2
 from runloft.net.sockets import Budget, Inbox, Outbox, close, connect, connecting, is_quiet
@@ -151,7 +152,8 @@
             refusal = SendRefusal.CLIENT_LEFT
         if refusal is not None:
             COUNTERS.add(Counted.NOT_SENT, refusal)
-            log.debug("attempt not sent", attempt=attempt, reason=str(refusal))
+            if trace.enabled:
+                trace("attempt not sent", attempt=attempt, reason=str(refusal))
             return 0
         return permit.wait_ns
 
@@ -261,7 +263,8 @@
             self.connected = False  # nothing of it has left
             self.end()
             return
-        log.debug("attempt begins", attempt=order.attempt, connection=self.number, wait_ms=wait // 1_000_000)
+        if trace.enabled:
+            trace("attempt begins", attempt=order.attempt, connection=self.number, wait_ms=wait // 1_000_000)
         link.begin(order.attempt, wait, link.clock())
         self._flush()
 
@@ -365,7 +368,8 @@
             return
         self.ended = True
         COUNTERS.add(Counted.NODE_CLOSED, reason)
-        log.debug("node connection closed", connection=self.number, node=self.place[0], reason=str(reason))
+        if trace.enabled:
+            trace("node connection closed", connection=self.number, node=self.place[0], reason=str(reason))
         self._release()
         self.link._unpool(self)
         close(self.sock)
