--- a/runloft/lab/soak/processes.py
+++ b/runloft/lab/soak/processes.py
@@ -19,7 +19,7 @@
 from runloft.lab.soak.shim import Fault, environment
 
 SERVING = re.compile(r"serving .*front=RespFront")
-READY_S, EXIT_S = 10.0, 4.5
+READY_S, EXIT_S = 10.0, 3.4  # SIGKILL may come 0.7 s after the longest deadline, 2.5 s here
 MS = 1_000_000
 
 
@@ -61,6 +61,7 @@
         self.index, self.port, self.discovery, self.starts = index, port, discovery, 0
         self.schedule, self.folder, self.record, self.epoch = schedule, folder, record, epoch
         self.process: anyio.abc.Process | None = None
+        self.restarting = False  # one trouble at a time ends and starts it
         self.chance = Random(f"process/{schedule.seed}/{index}")
 
     @property
--- a/runloft/lab/soak/running.py
+++ b/runloft/lab/soak/running.py
@@ -155,14 +155,16 @@
                     process.signal(signal.SIGHUP)
                     await anyio.sleep(trouble.for_s / 4)
             case TroubleKind.PROCESS_TERMINATE | TroubleKind.PROCESS_KILL:
-                if process.process is None or process.process.returncode is not None:
+                if process.restarting or process.process is None:
                     return  # another trouble has it
+                process.restarting = True
                 if trouble.kind is TroubleKind.PROCESS_KILL:
                     await process.kill()
-                elif await process.terminate() is None:
-                    return
+                else:
+                    await process.terminate()
                 if self.now() < self.schedule.seconds:
                     await process.spawn(process.write_configuration(self.instances.listed()))
+                process.restarting = False
 
     async def _discovery_trouble(self, trouble: Trouble, agent: SoakDiscovery) -> None:
         match trouble.kind:
