--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -12,7 +12,7 @@
 from typing import Any
 
 from runloft.config.faults import ConfigError, serious
-from runloft.core.model import Bounds, Withheld
+from runloft.core.model import Bounds, SuspendedVolumes
 from runloft.decisions import contract
 
 EFFECTS = {"retryable": contract.Effect.SAFE, "dedup": contract.Effect.KEYED}
@@ -99,7 +99,7 @@
     agreement: AgreementSettings | None = None
     admin: tuple[str, int] | None = None
     account_volumes: int = 0  # that have a latency account of their own; 0: none are kept
-    held: Withheld = Withheld()
+    held: SuspendedVolumes = SuspendedVolumes()
     raw: dict[str, Any] | None = field(default=None, compare=False)  # an operator's file, in the wire's units
 
     @property
--- a/runloft/core/guard.py
+++ b/runloft/core/guard.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from runloft.core.model import Asker, Bounds, NodeNews, Withheld
+from runloft.core.model import Bounds, NodeUpdate, ResponseSink, SuspendedVolumes
 from runloft.core.records import Attempt, PendingRequest
 from runloft.decisions.contract import Effect, NodeState, Settings
 
@@ -88,7 +88,7 @@
 
     wait_ns: int = 0
     refusal: SendRefusal | None = None
-    verify: Asker | None = None
+    verify: ResponseSink | None = None
 
     def __bool__(self) -> bool:
         return self.refusal is None
@@ -106,7 +106,7 @@
     return StartRefusal.ID_IN_USE if id_known else None
 
 
-def is_suspended(suspended: Withheld, plan: int, volume: int) -> bool:
+def is_suspended(suspended: SuspendedVolumes, plan: int, volume: int) -> bool:
     """Say whether nothing in force says how to serve it."""
     return suspended.covers(plan, volume)
 
@@ -124,7 +124,9 @@
     return None
 
 
-def permit_send(request: PendingRequest, node: NodeNews, settings: Settings, now: int) -> SendRefusal | None:
+def permit_send(
+    request: PendingRequest, node: NodeUpdate, settings: Settings, now: int
+) -> SendRefusal | None:
     """Say why the request's next attempt may not be handed to a link for this node."""
     if request.over:
         return SendRefusal.REQUEST_OVER
@@ -142,7 +144,7 @@
 
 
 def permit_first_byte(
-    attempt: Attempt | None, node: NodeNews | None, settings: Settings, now: int
+    attempt: Attempt | None, node: NodeUpdate | None, settings: Settings, now: int
 ) -> SendPermit:
     """Say whether an attempt's first byte may leave now; asked however long ago it was handed over.
 
@@ -162,7 +164,7 @@
     return SendPermit(wait_ns, verify=None if seen_now else request.asker)
 
 
-def _node_refusal(then: NodeNews, now: NodeNews | None) -> SendRefusal | None:
+def _node_refusal(then: NodeUpdate, now: NodeUpdate | None) -> SendRefusal | None:
     """Say why a node is no longer the one that an attempt was meant for."""
     if now is None:
         return SendRefusal.NODE_UNKNOWN
--- a/runloft/core/invariants.py
+++ b/runloft/core/invariants.py
@@ -10,7 +10,7 @@
 
 import structlog
 
-from runloft.core.model import NodeNews
+from runloft.core.model import NodeUpdate
 from runloft.core.records import Attempt
 from runloft.decisions.contract import NodeState, Settings
 
@@ -46,7 +46,7 @@
         return {str(kind): count for kind, count in self.counts.items()}
 
     def first_byte(
-        self, attempt: Attempt, node: NodeNews | None, settings: Settings, told_ns: int, now: int
+        self, attempt: Attempt, node: NodeUpdate | None, settings: Settings, told_ns: int, now: int
     ) -> None:
         """Check an attempt whose first byte leaves now, and for which a node is told this wait."""
         request = attempt.request
--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -21,7 +21,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Withheld:
+class SuspendedVolumes:
     """What is not served for now, because nothing in force says how: plans' numbers, volumes' ids."""
 
     plans: frozenset[int] = frozenset()
@@ -45,7 +45,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Ask:
+class RequestSpec:
     """A request as its front read it."""
 
     klass: int
@@ -63,7 +63,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class NodeNews:
+class NodeUpdate:
     """A storage node as discovery tells of it."""
 
     uid: str
@@ -116,7 +116,7 @@
 Reply = Served | Refused | Failed | Rejected
 
 
-class Asker(Protocol):
+class ResponseSink(Protocol):
     """Where a request came from; the reducer uses it as a key and hands answers to it."""
 
     def answer(self, reply: Reply) -> None:
@@ -136,15 +136,15 @@
 class Taken:
     """A request was read whole."""
 
-    asker: Asker
-    ask: Ask
+    asker: ResponseSink
+    ask: RequestSpec
 
 
 @dataclass(frozen=True, slots=True)
 class Left:
     """The client of a request went away."""
 
-    asker: Asker
+    asker: ResponseSink
 
 
 @dataclass(frozen=True, slots=True)
@@ -174,7 +174,7 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Recalled:
+class AttemptWithdrawn:
     """An attempt's first byte was not let go when its connection was ready; nothing of it has left."""
 
     attempt: int
@@ -188,11 +188,11 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Listed:
+class NodeListUpdate:
     """News of the storage nodes; ``heard_before``: when discovery was last heard before, 0: unknown."""
 
     kind: ListKind
-    nodes: tuple[NodeNews, ...] = ()
+    nodes: tuple[NodeUpdate, ...] = ()
     heard_before: int = 0
 
 
@@ -202,7 +202,7 @@
 
     settings: Settings
     bounds: Bounds
-    held: Withheld = Withheld()
+    held: SuspendedVolumes = SuspendedVolumes()
 
 
 @dataclass(frozen=True, slots=True)
@@ -210,7 +210,9 @@
     """The scheduler is about to exit: what is open gets its final answer now."""
 
 
-Event = Taken | Left | Began | Held | Ended | Recalled | Written | Listed | Reconfigured | Closing
+Event = (
+    Taken | Left | Began | Held | Ended | AttemptWithdrawn | Written | NodeListUpdate | Reconfigured | Closing
+)
 
 
 class Observer(Protocol):
@@ -255,13 +257,13 @@
     """
 
     attempt: int
-    node: NodeNews
+    node: NodeUpdate
     payload: Payload
     wait_ns: int
 
 
 @dataclass(frozen=True, slots=True)
-class Abandon:
+class AbortAttempt:
     """Close the connection of an attempt, before anything that follows is written."""
 
     attempt: int
@@ -271,7 +273,7 @@
 class Answer:
     """Give a request its final answer."""
 
-    asker: Asker
+    asker: ResponseSink
     reply: Reply
 
 
@@ -279,10 +281,10 @@
 class Begin:
     """Give a request the start of its streamed answer."""
 
-    asker: Asker
+    asker: ResponseSink
     value: object
     node: str
     shard: int
 
 
-Effect = Dispatch | Abandon | Answer | Begin
+Effect = Dispatch | AbortAttempt | Answer | Begin
--- a/runloft/core/records.py
+++ b/runloft/core/records.py
@@ -2,8 +2,8 @@
 
 from dataclasses import dataclass, field
 
-from runloft.core.deadlines import Mark
-from runloft.core.model import Ask, Asker, NodeNews
+from runloft.core.model import NodeUpdate, RequestSpec, ResponseSink
+from runloft.core.timers import TimerHandle
 from runloft.decisions.contract import Ending
 
 
@@ -12,8 +12,8 @@
     """A request until it is answered and none of its attempts is out."""
 
     id: int
-    asker: Asker
-    ask: Ask
+    asker: ResponseSink
+    ask: RequestSpec
     deadline: int
     received_at: int = 0
     sends: int = 0
@@ -31,8 +31,8 @@
     number: int
     request: PendingRequest
     node: int
-    news: NodeNews
+    news: NodeUpdate
     sent_at: int
-    due: Mark | None = None
+    due: TimerHandle | None = None
     told: bool = False  # its outcome is out already
     begun: bool = False  # its first byte was let go
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -13,15 +13,13 @@
 
 from runloft.core import guard
 from runloft.core.counters import COUNTERS, Counted
-from runloft.core.deadlines import Deadlines
 from runloft.core.guard import SendPermit, SendRefusal, StartRefusal
 from runloft.core.invariants import INVARIANTS
 from runloft.core.model import (
     HELD_NS,
-    Abandon,
+    AbortAttempt,
     Answer,
-    Ask,
-    Asker,
+    AttemptWithdrawn,
     Began,
     Begin,
     Bounds,
@@ -33,20 +31,22 @@
     Failed,
     Held,
     Left,
-    Listed,
-    NodeNews,
+    NodeListUpdate,
+    NodeUpdate,
     Observer,
-    Recalled,
     Reconfigured,
     Refused,
     Rejected,
+    RequestSpec,
+    ResponseSink,
     Served,
+    SuspendedVolumes,
     Taken,
-    Withheld,
     Written,
 )
 from runloft.core.records import Attempt, PendingRequest
 from runloft.core.start_times import StartTimes
+from runloft.core.timers import TimerQueue
 from runloft.core.trace import trace
 from runloft.decisions import contract
 from runloft.decisions.contract import Ending, ListKind, NodeState, Settings
@@ -68,18 +68,18 @@
     """One scheduler's state."""
 
     def __init__(
-        self, settings: Settings, seed: int, now: int, deadlines: Deadlines, bounds: Bounds | None = None
+        self, settings: Settings, seed: int, now: int, deadlines: TimerQueue, bounds: Bounds | None = None
     ) -> None:
         self.settings, self.deadlines, self.bounds = settings, deadlines, bounds or Bounds()
-        self.held = Withheld()
+        self.held = SuspendedVolumes()
         self.observer: Observer | None = None
         self._holders: dict[int, int] = {}  # shard -> the node listed for it last, where accounts are kept
         self.now = now
         self.scheduler = Scheduler(settings, seed, now)
         self.requests: dict[int, PendingRequest] = {}
-        self.by_asker: dict[Asker, PendingRequest] = {}
+        self.by_asker: dict[ResponseSink, PendingRequest] = {}
         self.attempts: dict[int, Attempt] = {}
-        self.nodes: dict[int, NodeNews] = {}
+        self.nodes: dict[int, NodeUpdate] = {}
         self.start_times = StartTimes()
         self.clock_in_doubt = False  # the wall clock has been seen to step
         self._listed_at = 0
@@ -124,7 +124,7 @@
                     self._began(attempt, value, told, effects)
                 case Held(attempt):
                     self._held(attempt, now, told)
-                case Recalled(attempt) if attempt in self.attempts:
+                case AttemptWithdrawn(attempt) if attempt in self.attempts:
                     # Guards the node's record: that nothing was sent says nothing of it.
                     gone = self.attempts[attempt].request.over
                     self._ended(Ended(attempt, Ending.CANCELLED if gone else Ending.MOOT), now, told, effects)
@@ -133,7 +133,7 @@
                         self.observer.written(attempt, now)
                 case Ended():
                     self._ended(event, now, told, effects)
-                case Listed():
+                case NodeListUpdate():
                     told.append(self._listed(event, now))
                 case Reconfigured(settings, bounds, held):
                     self.settings, self.bounds, self.held = settings, bounds, held
@@ -148,7 +148,7 @@
                     told.append(item)
                 case AttemptDue(attempt) if attempt in self.attempts:
                     # Closed before the module hears of it: no resend can pass a copy that is still out.
-                    effects.append(Abandon(attempt))
+                    effects.append(AbortAttempt(attempt))
                     self._ended(Ended(attempt, Ending.TIMEOUT), now, told, effects)
                 case _ if callable(item):
                     item()
@@ -158,7 +158,12 @@
         return effects
 
     def _take(
-        self, asker: Asker, ask: Ask, now: int, told: list[contract.Event], effects: list[Effect]
+        self,
+        asker: ResponseSink,
+        ask: RequestSpec,
+        now: int,
+        told: list[contract.Event],
+        effects: list[Effect],
     ) -> None:
         size, use = ask.payload.held_bytes, self.use.setdefault(ask.payload.wire, [0, 0])
         name = (ask.payload.wire, ask.id)
@@ -221,7 +226,7 @@
         started_ns = self.start_times.own_ns(news.uid)
         return node, "cold" if now - started_ns < self.settings.cold_ns else "bound"
 
-    def _leave(self, asker: Asker, told: list[contract.Event], effects: list[Effect]) -> None:
+    def _leave(self, asker: ResponseSink, told: list[contract.Event], effects: list[Effect]) -> None:
         request = self.by_asker.get(asker)
         if request is None or request.over:
             return
@@ -231,7 +236,7 @@
         self._over(request)
         if request.streaming:  # the module can't call off a started stream; its connection must go
             for attempt in list(request.out.values()):
-                effects.append(Abandon(attempt))
+                effects.append(AbortAttempt(attempt))
                 if self.observer is not None:
                     self.observer.returned(attempt, self.now, Ending.CANCELLED)
                 if not self.attempts[attempt].told:
@@ -328,7 +333,7 @@
             self._used.append((self.now, (payload.wire, request.ask.id)))
             use[0], use[1] = use[0] - 1, use[1] - payload.held_bytes
 
-    def _listed(self, event: Listed, now: int) -> contract.NodeList:
+    def _listed(self, event: NodeListUpdate, now: int) -> contract.NodeList:
         kind, changed = event.kind, {}
         if kind is not ListKind.DELTA:  # a whole list: who is not on it is gone
             named = {news.uid for news in event.nodes}
@@ -350,7 +355,7 @@
             changed = dict(self.nodes) | changed
         return contract.NodeList(kind, tuple(self._entry(number, news) for number, news in changed.items()))
 
-    def _heard_start(self, event: Listed, news: NodeNews, now: int) -> None:
+    def _heard_start(self, event: NodeListUpdate, news: NodeUpdate, now: int) -> None:
         known = news.uid in self.node_numbers
         is_news = bool(self._listed_at) and (known or event.kind is ListKind.DELTA)
         since = (event.heard_before or self._listed_at) if is_news else None
@@ -358,7 +363,7 @@
             news.uid, news.started_ns, now, changed_since=since, in_doubt=self.clock_in_doubt
         )
 
-    def _entry(self, number: int, news: NodeNews) -> contract.NodeEntry:
+    def _entry(self, number: int, news: NodeUpdate) -> contract.NodeEntry:
         started_ns = self.start_times.own_ns(news.uid)
         return contract.NodeEntry(number, news.shard, news.state, started_ns, news.zone, news.rating)
 
@@ -377,7 +382,7 @@
                 number = request.out.get(index) if request else None
                 if request and number is not None and not request.streaming:
                     attempt = self.attempts[number]
-                    effects.append(Abandon(number))
+                    effects.append(AbortAttempt(number))
                     if self.observer is not None:
                         self.observer.returned(number, now, Ending.CANCELLED)
                     self._next_turn.append(self._outcome(attempt, Ending.CANCELLED, now - attempt.sent_at))
@@ -405,7 +410,7 @@
         if not attempts or any(attempt.begun or attempt.sent_at == now for attempt in attempts):
             return False
         for attempt in attempts:
-            effects.append(Abandon(attempt.number))
+            effects.append(AbortAttempt(attempt.number))
             if self.observer is not None:
                 self.observer.returned(attempt.number, now, Ending.CANCELLED)
             self._next_turn.append(self._outcome(attempt, Ending.CANCELLED, now - attempt.sent_at))
--- a/runloft/core/deadlines.py
+++ b/runloft/core/timers.py
@@ -5,21 +5,21 @@
 
 from sortedcontainers import SortedList
 
-Mark = tuple[int, int, object]
+TimerHandle = tuple[int, int, object]
 
 
-class Deadlines:
+class TimerQueue:
     """Items by the time at which they are due; equal times keep the order of their adding."""
 
     def __init__(self) -> None:
-        self._marks: SortedList[Mark] = SortedList(key=lambda mark: mark[:2])
+        self._marks: SortedList[TimerHandle] = SortedList(key=lambda mark: mark[:2])
         self._serial = count()
         self.on_first: Callable[[], None] = lambda: None  # called when something is due sooner than all else
 
     def __len__(self) -> int:
         return len(self._marks)
 
-    def add(self, at_ns: int, item: object) -> Mark:
+    def add(self, at_ns: int, item: object) -> TimerHandle:
         """Add an item; the mark that comes back takes it out again."""
         mark = (at_ns, next(self._serial), item)
         self._marks.add(mark)
@@ -27,7 +27,7 @@
             self.on_first()
         return mark
 
-    def discard(self, mark: Mark | None) -> None:
+    def discard(self, mark: TimerHandle | None) -> None:
         """Take an item out, if it is still there."""
         if mark is not None:
             self._marks.discard(mark)
--- a/runloft/fronts/accepting.py
+++ b/runloft/fronts/accepting.py
@@ -10,9 +10,9 @@
 import structlog
 
 from runloft.config.settings import Config
-from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
 from runloft.core.model import Event
+from runloft.core.timers import TimerQueue
 from runloft.net.sockets import no_delay
 from runloft.net.timing import Clock, pause
 
@@ -68,7 +68,7 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
-        deadlines: Deadlines,
+        deadlines: TimerQueue,
         clock: Clock,
         config: Config,
     ) -> None:
--- a/runloft/fronts/grammar.py
+++ b/runloft/fronts/grammar.py
@@ -1,9 +1,9 @@
-"""IO.IN and IO.OUT into ``Ask``: what does not fit the protocol to the letter is never served."""
+"""IO.IN and IO.OUT into ``RequestSpec``: what does not fit the protocol to the letter is never served."""
 
 import re
 
 from runloft.config.settings import Config
-from runloft.core.model import Ask
+from runloft.core.model import RequestSpec
 from runloft.net.links import RespPayload
 
 MOST_SHARD = 65_535  # as on the simulator's wire
@@ -29,7 +29,7 @@
         self.settings = config.settings
         self.tells_writes = any(klass.writes for klass in config.settings.classes)
 
-    def ask(self, words: list[bytes], waited_ns: int = 0) -> Ask:
+    def ask(self, words: list[bytes], waited_ns: int = 0) -> RequestSpec:
         """Translate one command that came so long ago."""
         is_write = words[0].upper() == b"IO.OUT"
         if len(words) != (5 if is_write else 4):
@@ -58,7 +58,7 @@
         wait_ns = min(int(float(pairs[b"d"]) * 1_000_000), 2 * self.settings.classes[klass].deadline_ns)
         at = 0 if attributes.startswith(b"d=") else attributes.index(b",d=") + 1
         after = attributes.find(b",", at)
-        return Ask(
+        return RequestSpec(
             klass=klass,
             plan=plan,
             volume=int(pairs[b"volume"], 16),
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -1,6 +1,6 @@
 """The object front: HTTP in S3's terms, served by the same core as the platform's protocol.
 
-One exchange at a time on a connection.  A request becomes an ``Ask`` like any other; its answer
+One exchange at a time on a connection.  A request becomes a ``RequestSpec`` like any other; its answer
 is passed on as it comes, under back-pressure from the client.
 """
 
@@ -22,10 +22,10 @@
 from runloft.config.settings import Config, ObjectSettings
 from runloft.core import guard
 from runloft.core.counters import COUNTERS, Counted
-from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
 from runloft.core.invariants import INVARIANTS
-from runloft.core.model import Ask, Event, Failed, Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core.model import Event, Failed, Left, Refused, Rejected, Reply, RequestSpec, Served, Taken
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import Ending
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
@@ -503,7 +503,7 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
-        deadlines: Deadlines,
+        deadlines: TimerQueue,
         clock: Clock,
         config: Config,
         settings: ObjectSettings,
@@ -540,7 +540,9 @@
         if asked.volume not in self.settings.volumes:
             raise Problem(404, "NoSuchBucket", "there is no such volume")
 
-    async def ask(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> tuple[Ask, str]:
+    async def ask(
+        self, asked: Operation, headers: dict[bytes, bytes], body: bytes
+    ) -> tuple[RequestSpec, str]:
         """Find the shard and describe the request to the core."""
         volume, store = self.settings.volumes[asked.volume], self.store
         place = await store.get(store.object_key(asked.volume, asked.key)) if not asked.upload else None
@@ -582,7 +584,7 @@
                 raise Problem(400, "InvalidArgument", "X-Expires-In-Ms takes a whole number of milliseconds")
             deadline = min(deadline, int(wait) * 1_000_000)
         units = min(max(1.0, settings.max_units), max(1.0, math.ceil(length / self.settings.unit_bytes)))
-        return Ask(
+        return RequestSpec(
             klass=klass,
             plan=volume.plan,
             volume=volume.id,
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -15,10 +15,10 @@
 from runloft.config.settings import Config
 from runloft.core import guard
 from runloft.core.counters import COUNTERS, Counted
-from runloft.core.deadlines import Mark
 from runloft.core.guard import CloseReason
 from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core.timers import TimerHandle
 from runloft.core.trace import trace
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
@@ -104,7 +104,7 @@
         # Last whole command or answer, last byte that it took, and since when a command is half read.
         self.used_at = self.moved_at = self.half_since = front.clock()
         self.accepted_late = front.was_full  # what is here may have waited for it
-        self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
+        self.mark: TimerHandle | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
         """Read commands until the client closes, its framing is lost or it does not keep to its times."""
--- a/runloft/lab/scale/hollow.py
+++ b/runloft/lab/scale/hollow.py
@@ -14,9 +14,9 @@
 import anyio.abc
 
 from runloft.config.settings import OPERATIONS, Config, config_from_json
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Listed
+from runloft.core.model import NodeListUpdate
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import NodeState
 from runloft.lab.scale.child import Role
 from runloft.net.agreeing import Agreeing
@@ -71,7 +71,7 @@
     awaited, had_at = "", 0.0
 
     def _turn(self) -> None:
-        news = any(isinstance(event, Listed) for event in self.events)
+        news = any(isinstance(event, NodeListUpdate) for event in self.events)
         super()._turn()
         if news and self.awaited and not self.had_at and self.has(self.awaited):
             self.had_at = time.monotonic()
@@ -128,7 +128,7 @@
             self._agreeing(config, clock)
             assert self.agreeing
             config = self.agreeing.start()
-        deadlines = Deadlines()
+        deadlines = TimerQueue()
         core = Core(config.settings, config.seed, clock(), deadlines, config.bounds)
         core.held = config.held
         self.runner = runner = HollowRunner(core, deadlines, clock)
--- a/runloft/lab/soak/shim.py
+++ b/runloft/lab/soak/shim.py
@@ -4,6 +4,7 @@
 the environment, its times are of the monotonic clock, which all processes share and no trouble touches.
 """
 
+import ctypes
 import errno
 import functools
 import json
@@ -20,6 +21,7 @@
 from typing import Any
 
 ENVIRONMENT_KEY = "RUNLOFT_SOAK_FAULTS"
+PR_SET_PDEATHSIG = 1
 ERRORS = {
     "system-accept": (errno.ECONNABORTED, errno.ENFILE, errno.ENOBUFS, errno.EMFILE, errno.EPERM),
     "system-connect": (errno.EADDRNOTAVAIL, errno.ENETUNREACH, errno.ENOBUFS, errno.EAGAIN),
@@ -99,10 +101,18 @@
     time.time_ns = lambda: real_time_ns() + faults.wall_step_ns()
 
 
+def end_with_parent() -> None:
+    """Have the system kill this process when the soak ends, however that ends (prctl(2))."""
+    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
+    if os.getppid() == 1:
+        os._exit(1)  # it has ended already
+
+
 def main() -> int:
     """Install the faults and run the program's own command line."""
     # As in ``runloft.__main__``: a reload during the start waits until it can be handled.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
+    end_with_parent()
     raw = json.loads(os.environ[ENVIRONMENT_KEY])
     install(Faults([Fault(**one) for one in raw["faults"]], raw["seed"]))
     runpy.run_module("runloft", run_name="__main__")  # ends by exiting
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -32,7 +32,7 @@
 )
 from runloft.config.faults import ConfigError
 from runloft.config.settings import AgreementSettings, Config, config_from_json
-from runloft.core.model import Withheld
+from runloft.core.model import SuspendedVolumes
 from runloft.sharing.agreement import AgreementStore, StoreError
 from runloft.sharing.copy import CopyError, CopyWriter, LocalCopy
 
@@ -130,7 +130,7 @@
         known = config.objects.volumes if config.objects else {}
         ids = {volume.id for name, volume in known.items() if name in volumes}
         numbers = {index for index, name in enumerate(config.plan_names) if name in plans}
-        return replace(config, held=Withheld(frozenset(numbers), frozenset(ids)))
+        return replace(config, held=SuspendedVolumes(frozenset(numbers), frozenset(ids)))
 
     def _settled(self, got: Effective) -> None:
         differences = tuple((d.what, d.name, d.key) for d in got.differences)
--- a/runloft/net/discovery.py
+++ b/runloft/net/discovery.py
@@ -1,4 +1,4 @@
-"""Discovery's watch: node lists in, ``Listed`` events out.
+"""Discovery's watch: node lists in, ``NodeListUpdate`` events out.
 
 A watch lasts until its connection ends or its lines stop; then it is opened again, with backoff,
 from the last version seen.
@@ -15,9 +15,8 @@
 import h11
 import structlog
 
-from runloft.core.deadlines import Deadlines
-from runloft.core.deadlines import Mark as TimerHandle
-from runloft.core.model import Event, Listed, NodeNews
+from runloft.core.model import Event, NodeListUpdate, NodeUpdate
+from runloft.core.timers import TimerHandle, TimerQueue
 from runloft.decisions.contract import ListKind, NodeState
 from runloft.net.sockets import close, connect, connecting
 from runloft.net.timing import Clock, pause
@@ -53,7 +52,7 @@
 
 def listed(
     message: dict[str, Any], zones: tuple[str, ...], kind: ListKind | None = None, heard_before: int = 0
-) -> Listed:
+) -> NodeListUpdate:
     """Translate one message; entries that make no sense are left out, not obeyed."""
     nodes = []
     for entry in message.get("targets") or ():
@@ -61,7 +60,7 @@
             state = STATES.get(str(entry.get("state")), NodeState.DRAINING)
             zone = str(entry.get("az", ""))
             nodes.append(
-                NodeNews(
+                NodeUpdate(
                     uid=str(entry["uid"]),
                     endpoint=str(entry.get("endpoint", "")),
                     shard=int(entry.get("pod_group", 0)),
@@ -76,7 +75,7 @@
             log.warning("node entry passed over", error=repr(error))
     if kind is None:
         kind = ListKind.FULL if message.get("all") else ListKind.DELTA
-    return Listed(kind, tuple(nodes), heard_before)
+    return NodeListUpdate(kind, tuple(nodes), heard_before)
 
 
 class Messages:
@@ -123,7 +122,7 @@
 class WatchCall:
     """One call to discovery: made, then answered some time, then followed to its end."""
 
-    def __init__(self, where: tuple[str, int], index: int, deadlines: Deadlines, clock: Clock) -> None:
+    def __init__(self, where: tuple[str, int], index: int, deadlines: TimerQueue, clock: Clock) -> None:
         self.where, self.index, self.deadlines, self.clock = where, index, deadlines, clock
         self.sock = connecting()
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=LINE_LIMIT)
@@ -182,7 +181,7 @@
 class CallRace:
     """Calls that are out beside each other until the first of them is answered."""
 
-    def __init__(self, deadlines: Deadlines, clock: Clock) -> None:
+    def __init__(self, deadlines: TimerQueue, clock: Clock) -> None:
         self.deadlines, self.clock = deadlines, clock
         self.answered: WatchCall | None = None
         self.ended = 0  # calls that came to nothing
@@ -222,7 +221,7 @@
         rev: int,
         zones: tuple[str, ...],
         post: Callable[[Event], None],
-        deadlines: Deadlines,
+        deadlines: TimerQueue,
         clock: Clock,
         asked: bool = False,
     ) -> None:
--- a/runloft/net/http_link.py
+++ b/runloft/net/http_link.py
@@ -8,8 +8,8 @@
 import h11
 
 from runloft.core.counters import NodeCloseReason
-from runloft.core.deadlines import Mark
 from runloft.core.model import Began, Dispatch, Ended, Held
+from runloft.core.timers import TimerHandle
 from runloft.decisions.contract import Ending
 from runloft.net.links import Connection
 
@@ -80,7 +80,7 @@
 
     protocol: h11.Connection | None = None
     stream: Stream | None = None
-    stall: Mark | None = None
+    stall: TimerHandle | None = None
     not_ran: Ending | None = None
 
     def inbox_limit(self) -> int:
--- a/runloft/net/links.py
+++ b/runloft/net/links.py
@@ -13,9 +13,9 @@
 
 from runloft.config.settings import Config, address
 from runloft.core.counters import COUNTERS, Counted, NodeCloseReason
-from runloft.core.deadlines import Deadlines, Mark
 from runloft.core.guard import SendPermit, SendRefusal
-from runloft.core.model import Dispatch, Ended, Event, NodeNews, Recalled, Written
+from runloft.core.model import AttemptWithdrawn, Dispatch, Ended, Event, NodeUpdate, Written
+from runloft.core.timers import TimerHandle, TimerQueue
 from runloft.core.trace import trace
 from runloft.decisions.contract import Ending, NodeState
 from runloft.net import resp2
@@ -77,7 +77,7 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
-        deadlines: Deadlines,
+        deadlines: TimerQueue,
         clock: Callable[[], int],
         config: Config,
         *,
@@ -85,7 +85,7 @@
         permit: Callable[[int, int], SendPermit],
         begin: Callable[[int, int, int], None],
         part: int = 4,
-        endpoint: Callable[[NodeNews], str] = lambda news: news.endpoint,
+        endpoint: Callable[[NodeUpdate], str] = lambda news: news.endpoint,
     ) -> None:
         self.group, self.post, self.deadlines, self.clock = group, post, deadlines, clock
         self.kind, self.part, self.endpoint, self.permit, self.begin = kind, part, endpoint, permit, begin
@@ -94,7 +94,7 @@
         self.idle: dict[tuple[str, str], list[Connection]] = {}
         self.out: dict[int, Connection] = {}
         self.open: set[Connection] = set()
-        self.waiting: dict[int, Mark] = {}  # attempts that wait for a connection to have rested
+        self.waiting: dict[int, TimerHandle] = {}  # attempts that wait for a connection to have rested
 
     def configure(self, config: Config) -> None:
         """Go by these times and by this part of the descriptors."""
@@ -109,7 +109,7 @@
         """Write an attempt on a free connection, or on a new one."""
         # Guards nodes and descriptors: who waited here may have been given up, and needs no connection.
         if self.waiting.pop(order.attempt, None) and not self.permitted_ns(order.attempt):
-            self.post(Recalled(order.attempt))
+            self.post(AttemptWithdrawn(order.attempt))
             return
         place = (order.node.uid, self.endpoint(order.node))
         rested = self.clock() - REST_NS
@@ -189,7 +189,7 @@
             connection.order = None
             connection.end(NodeCloseReason.ATTEMPT_ABANDONED)
 
-    def listed(self, nodes: tuple[NodeNews, ...]) -> None:
+    def listed(self, nodes: tuple[NodeUpdate, ...]) -> None:
         """Close idle connections to nodes that have moved or are leaving."""
         for news in nodes:
             for place, pool in list(self.idle.items()):
@@ -219,7 +219,7 @@
         self.reserved = 0
         self.order: Dispatch | None = None
         self.connected = self.ended = self.writing = False
-        self.mark: Mark | None = None
+        self.mark: TimerHandle | None = None
         self.idle_since = 0
 
     def inbox_limit(self) -> int:
@@ -254,7 +254,7 @@
         link = self.link
         wait = link.permitted_ns(order.attempt)
         if not wait:
-            self.finished(Recalled(order.attempt))
+            self.finished(AttemptWithdrawn(order.attempt))
             return
         try:
             self.outbox.push(*self.parts(order, wait))
@@ -341,7 +341,7 @@
             return False
         return True
 
-    def finished(self, ended: Ended | Recalled, reusable: bool = True) -> None:
+    def finished(self, ended: Ended | AttemptWithdrawn, reusable: bool = True) -> None:
         """Post an attempt's end; the connection waits for the next one, or closes."""
         # Guards the next request: behind the rest of this one, it would get what this one is answered.
         reusable = reusable and not self.outbox.parts
--- a/runloft/net/reload.py
+++ b/runloft/net/reload.py
@@ -10,9 +10,8 @@
 
 from runloft.config.faults import ConfigError
 from runloft.config.settings import Config, UnreadableConfigError, load_config
-from runloft.core.deadlines import Deadlines
-from runloft.core.deadlines import Mark as TimerHandle
 from runloft.core.model import Event, Reconfigured
+from runloft.core.timers import TimerHandle, TimerQueue
 from runloft.decisions.contract import ListKind
 from runloft.net.discovery import Watch, listed
 
@@ -39,7 +38,7 @@
         parts: Iterable[Configured],
         agreed: Callable[[Config], Config] = lambda config: config,
         *,
-        deadlines: Deadlines | None = None,
+        deadlines: TimerQueue | None = None,
         clock: Callable[[], int] = time.monotonic_ns,
     ) -> None:
         self.path, self.config, self.watch, self.post, self.parts = path, config, watch, post, parts
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -12,10 +12,20 @@
 
 from runloft.config.settings import Config, ObjectSettings
 from runloft.core.counters import COUNTERS
-from runloft.core.deadlines import Deadlines
 from runloft.core.invariants import INVARIANTS
-from runloft.core.model import Abandon, Answer, Begin, Closing, Dispatch, Effect, Event, Listed, NodeNews
+from runloft.core.model import (
+    AbortAttempt,
+    Answer,
+    Begin,
+    Closing,
+    Dispatch,
+    Effect,
+    Event,
+    NodeListUpdate,
+    NodeUpdate,
+)
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import ListKind
 from runloft.fronts.resp import RespFront
 from runloft.net.discovery import Watch, listed
@@ -61,7 +71,7 @@
     def abandon(self, attempt: int) -> None:
         """Close an attempt's connection, if it is this link's."""
 
-    def listed(self, nodes: tuple[NodeNews, ...]) -> None:
+    def listed(self, nodes: tuple[NodeUpdate, ...]) -> None:
         """Heed news of the nodes."""
 
     def configure(self, config: Config) -> None:
@@ -94,7 +104,7 @@
 class Runner:
     """The turn: what has come since the last one goes to the reducer in one step."""
 
-    def __init__(self, core: Core, deadlines: Deadlines, clock: Callable[[], int]) -> None:
+    def __init__(self, core: Core, deadlines: TimerQueue, clock: Callable[[], int]) -> None:
         self.core, self.deadlines, self.clock = core, deadlines, clock
         self.clock_error_ns: Callable[[], int] = lambda: 0
         self.links: dict[str, Link] = {}
@@ -131,7 +141,7 @@
     def _turn(self) -> None:
         events, self.events = self.events, []
         for event in events:
-            if isinstance(event, Listed):
+            if isinstance(event, NodeListUpdate):
                 self.core.clock_in_doubt |= abs(self.clock_error_ns()) > CLOCK_STEP_NS
                 for link in self.links.values():
                     link.listed(event.nodes)
@@ -143,7 +153,7 @@
             match effect:
                 case Dispatch():
                     self.links[effect.payload.wire].dispatch(effect)
-                case Abandon(attempt):
+                case AbortAttempt(attempt):
                     for link in self.links.values():
                         link.abandon(attempt)
                 case Answer(asker, reply):
@@ -154,7 +164,7 @@
 
 async def serve(config: Config, path: str | None = None) -> None:
     """Run one scheduler until it is told to stop and all that it took is answered."""
-    clock, deadlines = Clock(), Deadlines()
+    clock, deadlines = Clock(), TimerQueue()
     agreeing = None
     if config.agreement:
         # Loaded here, like the object front: only where an operator's file sets it up.
@@ -268,7 +278,7 @@
         group.cancel_scope.cancel()
 
 
-def object_endpoint(settings: ObjectSettings, news: NodeNews) -> str:
+def object_endpoint(settings: ObjectSettings, news: NodeUpdate) -> str:
     """Find a node's object server: as its entry says, or at the port of the operator's file."""
     host = news.endpoint.rpartition(":")[0]
     return news.object_endpoint or f"{host}:{settings.server_port}"
--- a/runloft/net/timing.py
+++ b/runloft/net/timing.py
@@ -5,13 +5,13 @@
 
 import anyio
 
-from runloft.core.deadlines import Deadlines
+from runloft.core.timers import TimerQueue
 
 Clock = Callable[[], int]
 
 
 @contextmanager
-def within(deadlines: Deadlines, clock: Clock, seconds: float) -> Iterator[None]:
+def within(deadlines: TimerQueue, clock: Clock, seconds: float) -> Iterator[None]:
     """Raise TimeoutError when what is inside takes longer."""
     with anyio.CancelScope() as scope:
         mark = deadlines.add(clock() + int(seconds * 1e9), scope.cancel)
@@ -23,7 +23,7 @@
         raise TimeoutError("it took too long")
 
 
-async def pause(deadlines: Deadlines, clock: Clock, seconds: float) -> None:
+async def pause(deadlines: TimerQueue, clock: Clock, seconds: float) -> None:
     """Wait so long."""
     over = anyio.Event()
     deadlines.add(clock() + int(seconds * 1e9), over.set)
--- a/tests/test_accepting.py
+++ b/tests/test_accepting.py
@@ -6,8 +6,8 @@
 import pytest
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
+from runloft.core.timers import TimerQueue
 from runloft.fronts.accepting import AcceptingFront
 from tests.standins import config
 
@@ -26,7 +26,7 @@
 
 
 def front(most=5):
-    made = AcceptingFront(None, None, Deadlines(), lambda: 0, CONFIG)
+    made = AcceptingFront(None, None, TimerQueue(), lambda: 0, CONFIG)
     made.most_clients = most
     return made
 
@@ -154,7 +154,7 @@
 
     async def story():
         made, listener, calls = serving(), Waiting(Accepted(), Accepted(), Accepted()), []
-        made.deadlines, made.clock = Deadlines(), lambda: 0
+        made.deadlines, made.clock = TimerQueue(), lambda: 0
 
         async def wait(_):
             calls.append(1)
--- a/tests/test_accounts.py
+++ b/tests/test_accounts.py
@@ -9,7 +9,7 @@
 from runloft.accounts.ledger import MOST_NAMED, OTHERS, Largest, Ledger, VolumeTotals
 from runloft.accounts.node import NodeLog
 from runloft.accounts.parts import Account, Part
-from runloft.core.model import Began, Ended, Held, Left, Listed, NodeNews, Written
+from runloft.core.model import Began, Ended, Held, Left, NodeListUpdate, NodeUpdate, Written
 from runloft.decisions.contract import Ending, Fail, Forget, ListKind, NodeState, Refuse, Send
 from tests.driver import MS
 from tests.driver import settings as driver_settings
@@ -134,11 +134,11 @@
     """A reducer that is watched by a ledger, with one node in this state."""
     turns = Turns(**more)
     turns.core.observer = Ledger(turns.core.settings)
-    turns.step(Listed(ListKind.FULL, (NodeNews("s-1", "127.0.0.1:1", 0, state),)))
+    turns.step(NodeListUpdate(ListKind.FULL, (NodeUpdate("s-1", "127.0.0.1:1", 0, state),)))
     return turns, turns.core.observer
 
 
-NUDGE = Listed(ListKind.DELTA)  # something has come: the module is asked
+NUDGE = NodeListUpdate(ListKind.DELTA)  # something has come: the module is asked
 
 
 def parts(ledger, volume=1):
--- a/tests/test_any_settings.py
+++ b/tests/test_any_settings.py
@@ -9,22 +9,22 @@
 from hypothesis import strategies as st
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
 from runloft.core.model import (
-    Abandon,
+    AbortAttempt,
     Answer,
     Dispatch,
     Ended,
     Failed,
     Left,
-    Listed,
-    NodeNews,
+    NodeListUpdate,
+    NodeUpdate,
     Refused,
     Rejected,
     Served,
     Taken,
 )  # fmt: skip
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import Effect, Ending, Group, ListKind, NodeState
 from runloft.fronts.grammar import Translator
 from tests.driver import MS, SECOND
@@ -96,17 +96,17 @@
         self.settings, self.random, self.now = conf.settings, random.Random(seed), 100 * SECOND
         self.names = [(c["Name"], k) for k, c in enumerate(raw["settings"]["Classes"])]
         self.plans = [plan["Name"] for plan in raw["settings"]["ServiceLevels"]]
-        self.translator, self.core = Translator(conf), Core(conf.settings, seed, self.now, Deadlines())
+        self.translator, self.core = Translator(conf), Core(conf.settings, seed, self.now, TimerQueue())
         self.serial, self.due = count(), []
         self.open, self.attempts, self.lines, self.rest = {}, {}, defaultdict(list), {}
         self.taken_at, self.extra_at, self.stores = [], [], {}
-        self.nodes = {f"s-{n}": NodeNews(f"s-{n}", f"127.0.0.1:{n + 1}", n, zone=n % 2) for n in range(3)}
+        self.nodes = {f"s-{n}": NodeUpdate(f"s-{n}", f"127.0.0.1:{n + 1}", n, zone=n % 2) for n in range(3)}
 
     def at(self, when, event):
         heapq.heappush(self.due, (when, next(self.serial), event))
 
     def run(self):
-        self.step(Listed(ListKind.CACHED, tuple(self.nodes.values())))
+        self.step(NodeListUpdate(ListKind.CACHED, tuple(self.nodes.values())))
         span = max(klass.deadline_ns for klass in self.settings.classes)
         for _ in range(40):
             self.at(self.now + int(self.random.random() * min(span, 3 * SECOND)), self.ask)
@@ -135,7 +135,7 @@
         attributes = f"c={name},t={plan},d={time},volume={self.plans.index(plan):016x}"
         attributes += f",units={self.random.randint(1, 8)},shard={self.random.randint(-1, 3)},hosts=1"
         words = [b"IO.IN", b"%016x" % piece, b"%016x" % next(self.serial), attributes.encode()]
-        asker = Asker()
+        asker = ResponseSink()
         ask = self.translator.ask(words)
         self.open[asker] = self.now + ask.time_left_ns
         asker.ask, asker.klass = ask, facts
@@ -156,9 +156,9 @@
         uid = self.random.choice(list(self.nodes))
         state = self.random.choice([NodeState.READY, NodeState.DRAINING, NodeState.GONE])
         old = self.nodes[uid]
-        fresh = NodeNews(uid, old.endpoint, old.shard, state, started_ns=self.now, zone=old.zone)
+        fresh = NodeUpdate(uid, old.endpoint, old.shard, state, started_ns=self.now, zone=old.zone)
         self.nodes[uid] = fresh
-        return Listed(ListKind.DELTA, (fresh,))
+        return NodeListUpdate(ListKind.DELTA, (fresh,))
 
     def step(self, *events):
         for event in events:
@@ -167,7 +167,7 @@
         for effect in self.core.step(self.now, events):
             if isinstance(effect, Dispatch):
                 self.dispatched(effect)
-            elif isinstance(effect, Abandon):
+            elif isinstance(effect, AbortAttempt):
                 self.ended(effect.attempt, Ending.TIMEOUT)
             elif isinstance(effect, Answer):
                 self.answered(effect.asker, effect.reply)
@@ -235,7 +235,7 @@
             self.at(self.now + delay, Ended(order.attempt, ending, b"v" if ending is Ending.OK else None))
 
 
-class Asker:
+class ResponseSink:
     def __init__(self):
         self.over, self.out, self.sends, self.doubt_at, self.first = False, set(), 0, None, ""
 
--- a/tests/test_core.py
+++ b/tests/test_core.py
@@ -5,11 +5,9 @@
 import anyio
 import pytest
 
-from runloft.core.deadlines import Deadlines
 from runloft.core.model import (
-    Abandon,
+    AbortAttempt,
     Answer,
-    Ask,
     Began,
     Begin,
     Dispatch,
@@ -17,14 +15,16 @@
     Failed,
     Held,
     Left,
-    Listed,
-    NodeNews,
+    NodeListUpdate,
+    NodeUpdate,
     Refused,
     Rejected,
+    RequestSpec,
     Served,
     Taken,
 )
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import (
     Cancel,
     Ending,
@@ -40,7 +40,7 @@
 from runloft.net.runner import Clock, Runner
 from tests.driver import MS, SECOND, Host, gone, klass, settings
 
-NODE = NodeNews("s-1", "127.0.0.1:1", 0)
+NODE = NodeUpdate("s-1", "127.0.0.1:1", 0)
 
 
 @dataclass(eq=False)
@@ -67,12 +67,12 @@
     """A core, its clock and a scripted module."""
 
     def __init__(self, scripted=True, **more):
-        self.now, self.deadlines = SECOND, Deadlines()
+        self.now, self.deadlines = SECOND, TimerQueue()
         self.core = Core(settings(klass(deadline=600), **more), 1, self.now, self.deadlines)
         self.script = Script()
         if scripted:
             self.core.scheduler = self.script
-        self.step(Listed(ListKind.CACHED, (NODE,)))
+        self.step(NodeListUpdate(ListKind.CACHED, (NODE,)))
 
     def step(self, *events, after=0, plan=()):
         self.now += int(after * MS)
@@ -89,7 +89,7 @@
         asker = object()
         facts = {"shard": 0, "payload": Payload(wire)} | more
         volume = facts.pop("volume", 1)
-        return asker, self.step(Taken(asker, Ask(0, 0, volume, 1.0, 600 * MS, **facts)), plan=plan)
+        return asker, self.step(Taken(asker, RequestSpec(0, 0, volume, 1.0, 600 * MS, **facts)), plan=plan)
 
 
 def test_the_first_ok_is_the_answer_and_what_comes_after_it_is_passed_over():
@@ -106,7 +106,7 @@
     turns = Turns()
     turns.take([Send(1, 1, 100 * MS)])
     effects = turns.step(after=100, plan=[Send(1, 1)])
-    assert [type(e) for e in effects] == [Abandon, Dispatch] and effects[0].attempt == 1
+    assert [type(e) for e in effects] == [AbortAttempt, Dispatch] and effects[0].attempt == 1
     turns.step(Ended(1, Ending.OK, b"late"))
     assert turns.script.outcomes() == [(1, 0, Ending.TIMEOUT, False)]
 
@@ -114,7 +114,7 @@
 @pytest.mark.parametrize("twice", [Send(1, 1), Send(1, 9), Send(1, 2)])
 def test_a_moot_send_never_leaves_and_its_outcome_comes_in_the_next_turn(twice):
     turns = Turns()
-    turns.step(Listed(ListKind.DELTA, (NodeNews("s-2", "127.0.0.1:2", 1),)))
+    turns.step(NodeListUpdate(ListKind.DELTA, (NodeUpdate("s-2", "127.0.0.1:2", 1),)))
     _, effects = turns.take([Send(1, 1), twice])  # a second copy, an unknown node, another shard
     assert len(effects) == 1
     assert turns.core.next_at(turns.now) == turns.now
@@ -135,7 +135,7 @@
 def test_a_cancel_closes_and_is_reported_once():
     turns = Turns()
     asker, _ = turns.take([Send(1, 1)])
-    assert turns.step(Left(asker), plan=[Cancel(1, 0)]) == [Abandon(1)]
+    assert turns.step(Left(asker), plan=[Cancel(1, 0)]) == [AbortAttempt(1)]
     turns.step(Ended(1, Ending.RESET))
     assert turns.script.outcomes() == [(1, 0, Ending.CANCELLED, True)]
 
@@ -160,7 +160,7 @@
 
 def test_what_is_added_between_turns_is_heeded_in_its_time():
     async def run():
-        deadlines, fired = Deadlines(), anyio.Event()
+        deadlines, fired = TimerQueue(), anyio.Event()
         clock = Clock()
         runner = Runner(Core(settings(), 1, clock(), deadlines), deadlines, clock)
         async with anyio.create_task_group() as group:
@@ -178,14 +178,14 @@
     turns = Turns()
     asker, _ = turns.take([Send(1, 1)])
     turns.step(Began(1, "head"))
-    assert turns.step(Left(asker)) == [Abandon(1)]
+    assert turns.step(Left(asker)) == [AbortAttempt(1)]
     turns.step()
     assert turns.script.outcomes() == [(1, 0, Ending.CANCELLED, True)] and not turns.core.requests
 
 
 def test_timers_fire_in_a_later_turn_in_the_order_of_their_times():
     turns = Turns()
-    turns.step(Listed(ListKind.DELTA), plan=[Timer(0, 5), Timer(turns.now + 9 * MS, 6)])
+    turns.step(NodeListUpdate(ListKind.DELTA), plan=[Timer(0, 5), Timer(turns.now + 9 * MS, 6)])
     turns.step(after=1)
     turns.step(after=9)
     tokens = [e.token for e in turns.script.told if hasattr(e, "token")]
@@ -203,7 +203,7 @@
 def test_with_the_module_every_request_has_one_answer_by_its_deadline():
     turns = Turns(scripted=False)
     askers, answered = [turns.take()[0] for _ in range(40)], []
-    turns.step(Listed(ListKind.DELTA, (NodeNews("s-1", "", 0, NodeState.DRAINING),)))
+    turns.step(NodeListUpdate(ListKind.DELTA, (NodeUpdate("s-1", "", 0, NodeState.DRAINING),)))
     for _ in range(700):
         answered += [e.asker for e in turns.step(after=1) if isinstance(e, Answer)]
     assert len(answered) == len(set(answered)) and set(answered) <= set(askers)
@@ -215,7 +215,8 @@
     core, module = turns.core, turns.core.scheduler
 
     def news(number, state=NodeState.READY):
-        return Listed(ListKind.DELTA, (NodeNews(f"n-{number}", f"127.0.0.1:{number}", number % 9, state),))
+        node = NodeUpdate(f"n-{number}", f"127.0.0.1:{number}", number % 9, state)
+        return NodeListUpdate(ListKind.DELTA, (node,))
 
     sent = 0
     for number in range(3000):
--- a/tests/test_crossings.py
+++ b/tests/test_crossings.py
@@ -8,9 +8,18 @@
 import pytest
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Ask, Failed, Left, Listed, NodeNews, Recalled, Refused, Taken
+from runloft.core.model import (
+    AttemptWithdrawn,
+    Failed,
+    Left,
+    NodeListUpdate,
+    NodeUpdate,
+    Refused,
+    RequestSpec,
+    Taken,
+)
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import Ending, ListKind, NodeState
 from runloft.net import links
 from runloft.net.links import NodeLink, RespConnection, RespPayload
@@ -23,7 +32,7 @@
 BUSY = b"-BUSY\r\n"
 
 
-class Asker:
+class ResponseSink:
     def __init__(self):
         self.replies, self.left = [], False
 
@@ -46,7 +55,7 @@
     """Core, runner and link with a clock that the test moves; a connection is up when the test lets it be."""
 
     def __init__(self, monkeypatch, group, **extra):
-        self.now, self.up, deadlines = 100 * SECOND, anyio.Event(), Deadlines()
+        self.now, self.up, deadlines = 100 * SECOND, anyio.Event(), TimerQueue()
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.listener.settimeout(10)
         self.where = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -72,14 +81,14 @@
         self.tell()
 
     def tell(self, kind=ListKind.FULL, **more):
-        news = NodeNews(**{"uid": "s-1", "endpoint": self.where, "shard": 0} | more)
-        self.runner.post(Listed(kind, (news,)))
+        news = NodeUpdate(**{"uid": "s-1", "endpoint": self.where, "shard": 0} | more)
+        self.runner.post(NodeListUpdate(kind, (news,)))
         self.runner.turn()
 
     def take(self, deadline=2000, id_=ID, *body):
-        asker = Asker()
+        asker = ResponseSink()
         payload = RespPayload((b"IO.IN", b"7f3a9c21e0b4d655", id_, *body), b"d=", b"")
-        self.runner.post(Taken(asker, Ask(0, 0, 1, 1.0, deadline * MS, 0, payload, id=id_)))
+        self.runner.post(Taken(asker, RequestSpec(0, 0, 1, 1.0, deadline * MS, 0, payload, id=id_)))
         self.runner.turn()
         return asker
 
@@ -197,7 +206,7 @@
         scene.up.set()
         body = b"x" * (8 << 20)  # more than the system takes before the node reads
         payload = RespPayload((b"IO.OUT", b"7f3a9c21e0b4d655", ID, body), b"d=", b"")
-        scene.runner.post(Taken(Asker(), Ask(0, 0, 1, 1.0, 2000 * MS, 0, payload, id=ID)))
+        scene.runner.post(Taken(ResponseSink(), RequestSpec(0, 0, 1, 1.0, 2000 * MS, 0, payload, id=ID)))
         scene.turn()
         conn = await scene.node()
         connection = next(iter(scene.link.open))
@@ -530,7 +539,7 @@
         scene.turn(60)  # the retry is due
         if left:
             await until(lambda: scene.runner.events)
-            assert isinstance(scene.runner.events[0], Recalled)
+            assert isinstance(scene.runner.events[0], AttemptWithdrawn)
         else:
             assert await scene.read(conn) or await scene.read(await scene.node())
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -11,7 +11,7 @@
 import anyio
 import pytest
 
-from runloft.core.deadlines import Deadlines
+from runloft.core.timers import TimerQueue
 from runloft.net.discovery import Messages, Watch
 from tests.standins import Discovery, Program, RespNode, config, entry, reset, until
 
@@ -79,7 +79,7 @@
     """Let a watch run by a clock of its own, in steps of 10 ms."""
 
     async def run():
-        now, deadlines, posted = 0.0, Deadlines(), []
+        now, deadlines, posted = 0.0, TimerQueue(), []
         watch = Watch(agents[0].where, 41, (), posted.append, deadlines, lambda: int(now * 1e9), asked)
         async with anyio.create_task_group() as group:
             group.start_soon(watch.run)
--- a/tests/test_guard.py
+++ b/tests/test_guard.py
@@ -11,18 +11,18 @@
 from runloft.core import guard
 from runloft.core.guard import CloseReason, CloseRefusal, SendRefusal, StartRefusal
 from runloft.core.invariants import Invariants, Violation
-from runloft.core.model import Ask, Bounds, NodeNews
+from runloft.core.model import Bounds, NodeUpdate, RequestSpec
 from runloft.core.records import Attempt, PendingRequest
 from runloft.decisions.contract import Effect, NodeState
 from tests.driver import MS, SECOND, klass, settings
 
-NODE = NodeNews("s-1", "127.0.0.1:1", 0)
+NODE = NodeUpdate("s-1", "127.0.0.1:1", 0)
 EFFECTS = st.sampled_from(Effect)
 TIMES = st.integers(0, 2 * SECOND)
 
 
 def pending(**more):
-    ask = Ask(0, 0, 1, 1.0, SECOND, 0, None)
+    ask = RequestSpec(0, 0, 1, 1.0, SECOND, 0, None)
     return PendingRequest(1, "asker", ask, SECOND, **more)
 
 
--- a/tests/test_leaving.py
+++ b/tests/test_leaving.py
@@ -11,9 +11,9 @@
 import pytest
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
 from runloft.core.guard import CloseReason
 from runloft.core.model import Left, Served, Taken
+from runloft.core.timers import TimerQueue
 from runloft.fronts.resp import IDLE_NS, LINGER_NS, PIPELINED, RespFront
 from runloft.net.sockets import connecting
 from tests.driver import MS, SECOND
@@ -29,7 +29,7 @@
     """The platform's front by itself; what it posts is kept, and answered where the test says so."""
 
     def __init__(self, group):
-        self.now, self.deadlines, self.posted = 100 * SECOND, Deadlines(), []
+        self.now, self.deadlines, self.posted = 100 * SECOND, TimerQueue(), []
         conf = config_from_json(config("127.0.0.1:1", []))
         self.front = RespFront(group, self.posted.append, self.deadlines, lambda: self.now, conf)
         self.listener = socket.create_server(("127.0.0.1", 0))
--- a/tests/test_momentary_failures.py
+++ b/tests/test_momentary_failures.py
@@ -11,8 +11,8 @@
 from runloft.config import settings
 from runloft.config.faults import ConfigError
 from runloft.config.settings import UnreadableConfigError, config_from_json, load_config
-from runloft.core.deadlines import Deadlines
 from runloft.core.model import Reconfigured
+from runloft.core.timers import TimerQueue
 from runloft.net import sockets
 from runloft.net.reload import READ_AGAIN_NS, READ_TRIES, Reload
 from tests.standins import config, entry
@@ -77,7 +77,7 @@
 def test_a_reload_reads_again_what_could_not_be_read(tmp_path, monkeypatch):
     """The reload was dropped: the old discovery was watched on, while the new one counted as told."""
     path, before = written(tmp_path, discovery="127.0.0.1:9", limits={"memory_mb": 64})
-    now, deadlines, posted = [0], Deadlines(), []
+    now, deadlines, posted = [0], TimerQueue(), []
     reload = Reload(str(path), before, Watch(), posted.append, (), deadlines=deadlines, clock=lambda: now[0])
     failing(monkeypatch, 2)
     reload()
--- a/tests/test_objects.py
+++ b/tests/test_objects.py
@@ -127,7 +127,7 @@
     with world.program.connect("ObjectFront") as sock:
         sock.sendall(request_)
         assert int(sock.recv(65536).split()[1]) == status
-    assert not any(server.log for server in world.servers)
+    assert [server.log for server in world.servers] == [[], []]
     assert world.ask("PUT", body=b"still serving")[0] == 200
 
 
--- a/tests/test_reload.py
+++ b/tests/test_reload.py
@@ -11,8 +11,8 @@
 import pytest
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Dispatch, Ended, NodeNews, Reconfigured, Refused
+from runloft.core.model import Dispatch, Ended, NodeUpdate, Reconfigured, Refused
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import Ending, ListKind, NewSettings, PlanSettings, Send
 from runloft.net.discovery import Watch
 from runloft.net.links import NodeLink
@@ -179,7 +179,7 @@
 
     async def run():
         path, posted, raw = tmp_path / "config.json", [], config("127.0.0.1:1", [entry("127.0.0.1:2")])
-        watch = Watch(("127.0.0.1", 1), 5, (), posted.append, Deadlines(), lambda: 0)
+        watch = Watch(("127.0.0.1", 1), 5, (), posted.append, TimerQueue(), lambda: 0)
         path.write_text(json.dumps(raw | {"discovery": "127.0.0.1:3", "known": raw["known"] | {"rev": rev}}))
         reload = Reload(str(path), config_from_json(raw), watch, posted.append, ())
         for _ in range(2):  # again before the new one has said anything
@@ -190,11 +190,11 @@
 
 
 def test_a_link_without_a_descriptor_to_spare_says_nothing_of_the_node():
-    deadlines, posted = Deadlines(), []
+    deadlines, posted = TimerQueue(), []
     conf = config_from_json(config("127.0.0.1:1", []) | {"limits": {"sockets": 32}})
     link = NodeLink(None, posted.append, deadlines, lambda: 0, conf, kind=None, permit=None, begin=None)
     link.most = 0
-    link.dispatch(Dispatch(1, NodeNews("s-1", "127.0.0.1:2", 0), None, SECOND))
+    link.dispatch(Dispatch(1, NodeUpdate("s-1", "127.0.0.1:2", 0), None, SECOND))
     assert posted == [] and list(link.waiting) == [1] and len(deadlines) == 1
     link.abandon(1)
     assert not link.waiting and not len(deadlines)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,9 +1,11 @@
 """The fault soak: schedules, what its oracles find, its command line, and a short real run."""
 
 import json
+import signal
 import subprocess
 import sys
 from dataclasses import replace
+from pathlib import Path
 
 import anyio
 import pytest
@@ -17,6 +19,7 @@
 from runloft.lab.soak.running import SoakRun
 from runloft.lab.soak.schedule import SYSTEM_KINDS, ScheduleError, TroubleKind, checked_kinds, draw, read
 from runloft.lab.soak.shim import ERRORS, Fault, Faults
+from tests.standins import until
 
 ID = "00000000000000aa"
 
@@ -173,3 +176,23 @@
     assert found == [] and record.requests and record.attempts
     exits = [one for one in record.events if one.what == "exited"]
     assert len(exits) >= 3 and all(one.code == 0 for one in exits)
+
+
+def children(pid):
+    """Give the processes that a process has started."""
+    return [int(one) for one in Path(f"/proc/{pid}/task/{pid}/children").read_text().split()]
+
+
+@pytest.mark.parametrize("end", [signal.SIGINT, signal.SIGKILL])
+def test_a_soak_that_is_ended_leaves_nothing_running(end):
+    command = [sys.executable, "-m", "runloft", "lab", "soak", "--processes", "2", "--seconds", "30"]
+    soak = subprocess.Popen(command, stdout=subprocess.DEVNULL, stderr=subprocess.DEVNULL)
+    try:
+        started = until(lambda: len(children(soak.pid)) == 2 and children(soak.pid))
+        until(lambda: all(b"serve" in Path(f"/proc/{pid}/cmdline").read_bytes() for pid in started))
+        soak.send_signal(end)
+        soak.wait(15)
+        until(lambda: not any(Path(f"/proc/{pid}/exe").exists() for pid in started))
+    finally:
+        soak.kill()
+        soak.wait()
--- a/tests/test_standing_objects.py
+++ b/tests/test_standing_objects.py
@@ -6,8 +6,8 @@
 import pytest
 
 from runloft.config.settings import config_from_json
-from runloft.core.deadlines import Deadlines
 from runloft.core.model import Served, Taken
+from runloft.core.timers import TimerQueue
 from runloft.fronts.objects import FREE_ERRORS, LINGER_S, ObjectFront
 from runloft.net.http_link import Stream
 from runloft.sharing.places import Place
@@ -29,7 +29,7 @@
     """The object front by itself; what it posts is kept, and answered where the test says so."""
 
     def __init__(self, group):
-        self.now, self.deadlines, self.posted = 100 * SECOND, Deadlines(), []
+        self.now, self.deadlines, self.posted = 100 * SECOND, TimerQueue(), []
         conf = config_from_json(config("127.0.0.1:1", [], "127.0.0.1:2"))
         parts = (group, self.posted.append, self.deadlines, lambda: self.now, conf)
         self.front = ObjectFront(*parts, conf.objects, Store())
--- a/tests/test_start_times.py
+++ b/tests/test_start_times.py
@@ -6,9 +6,9 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Listed, NodeNews
+from runloft.core.model import NodeListUpdate, NodeUpdate
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import ListKind
 from runloft.net.runner import Clock
 from tests.driver import MS, SECOND, klass, settings
@@ -24,14 +24,14 @@
     def __init__(self, off=0):
         self.off, self.now = off, NOW
         conf = settings(klass(), cold_ns=COLD, cold_from=0.2, fall_ns=2 * SECOND, cold_units=12.0)
-        self.core = Core(conf, 1, self.now + off, Deadlines())
+        self.core = Core(conf, 1, self.now + off, TimerQueue())
 
     def tell(self, kind=ListKind.DELTA, **started):
         nodes = tuple(
-            NodeNews(uid, "127.0.0.1:1", shard, started_ns=at)
+            NodeUpdate(uid, "127.0.0.1:1", shard, started_ns=at)
             for shard, (uid, at) in enumerate(started.items())
         )
-        self.core.step(self.now + self.off, [Listed(kind, nodes)])
+        self.core.step(self.now + self.off, [NodeListUpdate(kind, nodes)])
 
     def age(self, uid):
         """Give for how long the module takes a node to have been up; None: long since."""
--- a/tests/test_winding_down.py
+++ b/tests/test_winding_down.py
@@ -6,9 +6,9 @@
 import anyio
 import pytest
 
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Answer, Closing, Listed, NodeNews, Refused, Taken
+from runloft.core.model import Answer, Closing, NodeListUpdate, NodeUpdate, Refused, Taken
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions import contract
 from runloft.decisions.contract import Effect, Ending, Fail, ListKind, Refuse
 from runloft.net.runner import FINISH_NS, Runner, wind_down
@@ -44,10 +44,10 @@
             self.next_at = self.scene.now + self.every
             payload = SimpleNamespace(wire="resp", held_bytes=1)
             ask = SimpleNamespace(payload=payload, time_left_ns=self.busy, **ASK)
-            self.scene.runner.post(Taken(Asker(self), ask))
+            self.scene.runner.post(Taken(ResponseSink(self), ask))
 
 
-class Asker:
+class ResponseSink:
     def __init__(self, front):
         self.front, self.asked_at = front, front.scene.now
 
@@ -65,13 +65,13 @@
     """A core whose node never answers, its runner and a clock that the test moves."""
 
     def __init__(self, deadline, every):
-        self.now, deadlines = SECOND, Deadlines()
+        self.now, deadlines = SECOND, TimerQueue()
         self.core = Core(settings(klass(deadline=deadline)), 1, self.now, deadlines)
         self.runner = Runner(self.core, deadlines, lambda: self.now)
         self.runner.links["resp"] = SimpleNamespace(
             dispatch=lambda order: None, abandon=lambda n: None, listed=lambda n: None
         )
-        self.runner.post(Listed(ListKind.CACHED, (NodeNews("s-1", "127.0.0.1:1", 0),)))
+        self.runner.post(NodeListUpdate(ListKind.CACHED, (NodeUpdate("s-1", "127.0.0.1:1", 0),)))
         self.front = Front(self, every, deadline * MS)
 
     async def end(self):
