--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -6,16 +6,20 @@
 import os
 import signal
 import sys
-from collections.abc import Sequence
+import time
+from collections.abc import Callable, Sequence
 
 import anyio
 import structlog
 
 from runloft import __version__
 from runloft.config.faults import ConfigError
-from runloft.config.settings import load_config
+from runloft.config.settings import Config, UnreadableConfigError, load_config
+from runloft.core.trace import trace
 from runloft.net.runner import serve
 
+READ_TRIES, READ_AGAIN_S = 40, 0.05  # of a configuration that can't be read for a moment
+
 
 def parser(tools: bool = True) -> argparse.ArgumentParser:
     """Describe the sub-commands; without the tools, whose loading would only delay a scheduler's start."""
@@ -49,6 +53,9 @@
 
     options_of_scale.add_parser(actions)
     options_of_scale.add_capacity_parser(actions)
+    from runloft.lab.soak import options as options_of_soak
+
+    options_of_soak.add_parser(actions)
     return top
 
 
@@ -80,9 +87,11 @@
     if options.command == "lab":
         return _lab(options)
     level = logging.DEBUG if options.verbose else logging.INFO
+    trace.enabled = options.verbose
     structlog.configure(
         wrapper_class=structlog.make_filtering_bound_logger(level),
         logger_factory=structlog.PrintLoggerFactory(sys.stderr),
+        cache_logger_on_first_use=True,
     )
     # Guards the start: a reload that comes before there is anything to reload waits until ``serve`` heeds it.
     signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGHUP,))
@@ -91,7 +100,7 @@
         print("runloft: no configuration: give --config or set ROUTER_CONFIG", file=sys.stderr)
         return 1
     try:
-        config = load_config(options.config)
+        config = load_when_readable(options.config)
     except ConfigError as error:
         return _faults(error)
     # What is loaded by now stays: collections in the middle of a turn need not walk it.
@@ -101,6 +110,20 @@
     return 0
 
 
+def load_when_readable(path: str, sleep: Callable[[float], None] = time.sleep) -> Config:
+    """Load a configuration; a file that can't be read for a moment is read again, for 2 s at most.
+
+    Raises ConfigError where it is at fault, or could not be read to the end.
+    """
+    for _ in range(READ_TRIES):
+        try:
+            return load_config(path)
+        except UnreadableConfigError as error:
+            structlog.get_logger().warning("configuration can't be read yet", faults=error.faults)
+            sleep(READ_AGAIN_S)
+    return load_config(path)
+
+
 def _lab(options: argparse.Namespace) -> int:
     try:
         # Loaded here: nothing but the laboratory needs it.
@@ -110,6 +133,8 @@
             from runloft.lab.scale import commands as scale
         if options.action == "capacity":
             from runloft.lab.scale import capacity
+        if options.action == "soak":
+            from runloft.lab.soak import commands as soak
     except ModuleNotFoundError as error:
         print(f"runloft: {error.name} is missing: pip install -r requirements-tools.txt", file=sys.stderr)
         return 2
@@ -118,6 +143,8 @@
         return scale.run(options)
     if options.action == "capacity":
         return capacity.run(options)
+    if options.action == "soak":
+        return soak.run(options)
     return rollouts.run(options) if options.action == "rollouts" else commands.run(options)
 
 
--- a/runloft/fronts/objects.py
+++ b/runloft/fronts/objects.py
@@ -1,6 +1,6 @@
 """The object front: HTTP in S3's terms, served by the same core as the platform's protocol.
 
-One exchange at a time on a connection.  A request becomes an ``Ask`` like any other; its answer
+One exchange at a time on a connection.  A request becomes a ``RequestSpec`` like any other; its answer
 is passed on as it comes, under back-pressure from the client.
 """
 
@@ -10,7 +10,7 @@
 import uuid
 import zlib
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from urllib.parse import parse_qsl, quote, unquote, urlsplit
 from xml.sax.saxutils import escape
 
@@ -20,8 +20,12 @@
 import structlog
 
 from runloft.config.settings import Config, ObjectSettings
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Ask, Event, Failed, Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core import guard
+from runloft.core.counters import COUNTERS, Counted
+from runloft.core.guard import CloseReason
+from runloft.core.invariants import INVARIANTS
+from runloft.core.model import Event, Failed, Left, Refused, Rejected, Reply, RequestSpec, Served, Taken
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import Ending
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.net.http_link import HttpPayload, Stream
@@ -39,6 +43,7 @@
 LOOK_S = 0.04  # between looks at a client that is not read: once it has left nothing of it is sent on
 LINGER_S, LINGER_BYTES = 0.5, 256 << 10  # what is still read, and dropped, behind an early answer
 FREE_ERRORS, SLOW_S, SLOWEST_S = 4, 0.01, 0.25  # a connection that does little but err is read more slowly
+LEAST_TIME_NS = 1_000_000  # left to a request whose client's time is over: it is refused at once
 ONCE = (b"range", b"if-range", b"x-expires-in-ms")  # headers that may stand once at most
 MOST_PART = 10_000
 PASSED_ON = (b"range", b"if-range", b"if-match", b"if-none-match", b"content-type", b"content-md5")
@@ -128,8 +133,8 @@
 class Exchange:
     """One request's way through the core."""
 
-    def __init__(self) -> None:
-        self.event = anyio.Event()
+    def __init__(self, sock: socket.socket) -> None:
+        self.event, self.sock = anyio.Event(), sock
         self.stream: Stream | None = None
         self.reply: Reply | None = None
         self.shard = -1
@@ -140,8 +145,13 @@
         self.stream, self.shard = value, shard
         self.event.set()
 
+    def has_left(self) -> bool:
+        """Look whether its client ended its sending, whatever is still to be read."""
+        return self.sock.fileno() < 0 or bool(half_closed((self.sock,)))
+
     def answer(self, reply: Reply) -> None:
         """Take the final answer."""
+        INVARIANTS.answered(self.reply is not None, front="objects")
         self.reply = reply
         if isinstance(reply, Served):
             self.shard = reply.shard
@@ -198,22 +208,31 @@
             if over > 0:  # guards the other clients against one that repeats what can't be served
                 await pause(self.front.deadlines, self.front.clock, min(SLOWEST_S, SLOW_S * 2.0**over))
 
+    def may_close(self, reason: CloseReason) -> bool:
+        """Ask the guard; what is already here is read first."""
+        half_read, unread = len(self.protocol.trailing_data[0]), not nothing_to_read(self.sock)
+        return guard.permit_close(reason, (self,) if self.busy else (), 0, half_read, unread) is None
+
     def close_if_idle(self) -> None:
         """Close between requests; one that is already here is read first.
 
         Guards the last answer: a request that comes just now would turn a close into a reset that takes it.
         """
-        if self.busy or self.lingers or self.protocol.trailing_data[0] or not nothing_to_read(self.sock):
+        if self.lingers or not self.may_close(CloseReason.SHUTDOWN):
             return
         if self.front.clock() - self.used_at >= LINGER_S * 1e9:
-            self.end()
+            self.end(CloseReason.SHUTDOWN)
         elif not self.reading.cancel_called:
             self.reading.cancel()
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.CLIENT_LEFT) -> None:
         """Close."""
         if not self.ended:
             self.ended = True
+            own_reason = reason not in guard.OF_THE_CLIENT
+            lost_input = own_reason and not (self.lingers or nothing_to_read(self.sock))
+            INVARIANTS.closed(self.busy, lost_input, own_reason, front="objects", reason=str(reason))
+            COUNTERS.add(Counted.CLIENT_CLOSED, reason)
             close(self.sock)
             self.front.clients.discard(self)
 
@@ -326,11 +345,17 @@
             read += len(event.data)
 
     async def _serve(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> None:
+        arrived_at = self.front.clock()
         try:
             ask, upload = await self.front.ask(asked, headers, body)
         except StoreDownError as error:
             raise self._store_down(error) from None
-        exchange, failure = Exchange(), None
+        exchange, failure = Exchange(self.sock), None
+        if exchange.has_left():  # while the store was asked: nothing of it is begun
+            raise ConnectionResetError("the client closed")
+        # The client's time runs from its request's last byte, also while the store is asked.
+        time_left_ns = ask.time_left_ns - (self.front.clock() - arrived_at)
+        ask = replace(ask, time_left_ns=max(time_left_ns, LEAST_TIME_NS))
         self.front.post(Taken(exchange, ask))
         try:
             async with anyio.create_task_group() as group:
@@ -478,7 +503,7 @@
         self,
         group: anyio.abc.TaskGroup,
         post: Callable[[Event], None],
-        deadlines: Deadlines,
+        deadlines: TimerQueue,
         clock: Clock,
         config: Config,
         settings: ObjectSettings,
@@ -515,7 +540,9 @@
         if asked.volume not in self.settings.volumes:
             raise Problem(404, "NoSuchBucket", "there is no such volume")
 
-    async def ask(self, asked: Operation, headers: dict[bytes, bytes], body: bytes) -> tuple[Ask, str]:
+    async def ask(
+        self, asked: Operation, headers: dict[bytes, bytes], body: bytes
+    ) -> tuple[RequestSpec, str]:
         """Find the shard and describe the request to the core."""
         volume, store = self.settings.volumes[asked.volume], self.store
         place = await store.get(store.object_key(asked.volume, asked.key)) if not asked.upload else None
@@ -557,7 +584,7 @@
                 raise Problem(400, "InvalidArgument", "X-Expires-In-Ms takes a whole number of milliseconds")
             deadline = min(deadline, int(wait) * 1_000_000)
         units = min(max(1.0, settings.max_units), max(1.0, math.ceil(length / self.settings.unit_bytes)))
-        return Ask(
+        return RequestSpec(
             klass=klass,
             plan=volume.plan,
             volume=volume.id,
--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -5,18 +5,25 @@
 from collections import deque
 from collections.abc import Iterator
 from contextlib import contextmanager
+from functools import partial
+from itertools import count
 from typing import Any
 
 import anyio
 import structlog
 
 from runloft.config.settings import Config
-from runloft.core.deadlines import Mark
+from runloft.core import guard
+from runloft.core.counters import COUNTERS, Counted
+from runloft.core.guard import CloseReason
+from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core.timers import TimerHandle
+from runloft.core.trace import trace
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
-from runloft.net.sockets import Inbox, Outbox, close, half_closed, nothing_to_read
+from runloft.net.sockets import ArrivalTimes, Inbox, Outbox, close, data_age_ns, half_closed, nothing_to_read
 from runloft.net.timing import pause
 
 log = structlog.get_logger()
@@ -48,6 +55,9 @@
 
     def put(self, *parts: bytes) -> None:
         """Fill the place; what is ready at the head of the line is written."""
+        if self.answered:
+            INVARIANTS.violated(Violation.SECOND_ANSWER, client=self.client.number)
+            return
         self.parts, self.answered = parts, True
         self.client.unsent += sum(map(len, parts))
         self.client.flush()
@@ -55,6 +65,10 @@
     def begin(self, value: object, node: str, shard: int) -> None:
         """Pass over: answers of this front come whole."""
 
+    def has_left(self) -> bool:
+        """Look whether its client has gone; one that has is closed."""
+        return self.client.has_left()
+
     def answer(self, reply: Reply) -> None:
         """Write the final answer."""
         match reply:
@@ -74,10 +88,14 @@
 class Client:
     """One client connection."""
 
+    _numbers = count(1)
+
     def __init__(self, front: "RespFront", sock: socket.socket) -> None:
-        self.front, self.sock = front, sock
-        self.inbox, self.outbox = Inbox(COMMAND_LIMIT), Outbox()
+        self.front, self.sock, self.number = front, sock, next(self._numbers)
+        self.over_because = CloseReason.CLIENT_LEFT  # why reading ended, where nothing else says so
+        self.inbox, self.outbox, self.arrivals = Inbox(COMMAND_LIMIT), Outbox(), ArrivalTimes()
         self.slots: deque[Slot] = deque()
+        self.unread_since: int | None = None  # what comes next came then, for all that is known
         self.room: anyio.Event | None = None
         self.reading = anyio.CancelScope()
         self.ended = self.writing = self.half_read = self.spoke = False
@@ -85,7 +103,8 @@
         self.errors = self.buffered = self.unsent = 0  # unsent: bytes of answers behind one that is owed
         # Last whole command or answer, last byte that it took, and since when a command is half read.
         self.used_at = self.moved_at = self.half_since = front.clock()
-        self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
+        self.accepted_late = front.was_full  # what is here may have waited for it
+        self.mark: TimerHandle | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
         """Read commands until the client closes, its framing is lost or it does not keep to its times."""
@@ -95,8 +114,8 @@
             if self.closing:
                 await self._linger()
         except (OSError, BufferError, anyio.ClosedResourceError):
-            pass
-        self.end()
+            self.over_because = CloseReason.CONNECTION_BROKEN
+        self.end(self.over_because)
 
     async def _read(self) -> None:
         while not self.ended and not self.closing:
@@ -105,6 +124,8 @@
                 with self._unread():
                     await self.room.wait()
             elif self._commands():
+                if self.has_left():  # it asked for much and went: what is left of it is not begun
+                    return
                 # Guards the other clients: a flood on one connection gets one turn like all others.
                 slowness = self._slowness()
                 await (self._rest(slowness) if slowness else anyio.sleep(0))
@@ -115,16 +136,51 @@
         """Read once; whether the client goes on."""
         while True:
             try:
-                got = self.inbox.receive(self.sock)
+                got = self._receive_now()
             except BlockingIOError:
                 self.inbox.shrink()
                 self._account()
                 await anyio.wait_readable(self.sock)
                 continue
-            self._account()
             self.front.relieve()
             return got > 0
 
+    def _receive_now(self) -> int:
+        """Read what is here and note when it came; 0 at the end, BlockingIOError where nothing is here."""
+        try:
+            got = self.inbox.receive(self.sock)
+        except BlockingIOError:
+            self.unread_since, self.accepted_late = None, False  # what comes next comes now
+            raise
+        came_at = self.unread_since
+        if came_at is None:
+            came_at = self.front.clock() - (data_age_ns(self.sock) if self.accepted_late else 0)
+        self.arrivals.add(got, came_at)
+        # A read that filled the buffer may have left bytes in the socket, which are as old as these.
+        self.unread_since = came_at if self.inbox.is_filled() else None
+        self.accepted_late = self.accepted_late and self.inbox.is_filled()
+        self._account()
+        return got
+
+    def read_ahead(self) -> bool:
+        """Read while no command is taken, to learn when requests came; False: the client has left.
+
+        What finds no room stays in the socket and counts as having come when room ran out.
+        """
+        try:
+            while not (self.closing or self.ended):
+                if self.inbox.is_full() or self.front.buffers > self.front.buffers_most // 2:
+                    if self.unread_since is None:
+                        self.unread_since = self.front.clock()
+                    return True
+                if not self._receive_now():
+                    return False
+        except BlockingIOError:
+            return True
+        except OSError:
+            return False
+        return True
+
     def _account(self) -> None:
         self.front.buffers += len(self.inbox.data) - self.buffered
         self.buffered = len(self.inbox.data)
@@ -148,14 +204,15 @@
             words, inbox.start = piece
             taken += 1
             self.used_at, self.spoke = self.front.clock(), True
+            arrived_at = self.arrivals.of_byte_before(inbox.end - inbox.start, self.used_at)
             if words:
-                self._command(words)
+                self._command(words, arrived_at)
         return not self.closing
 
     def fail(self, reason: str) -> None:
         """Say behind the answers that are owed that nothing more is read, and close after them."""
         if not self.closing and not self.ended:
-            self.closing = True
+            self.closing, self.over_because = True, CloseReason.PROTOCOL_ERROR
             self.reading.cancel()
             self._slot().put(b"-ERR Protocol error: %s\r\n" % reason.encode())
 
@@ -164,14 +221,16 @@
         self.slots.append(slot)
         return slot
 
-    def _command(self, words: list[bytes]) -> None:
+    def _command(self, words: list[bytes], arrived_at: int) -> None:
         slot, name = self._slot(), words[0].upper()
         if name in (b"IO.IN", b"IO.OUT"):
             try:
-                ask = self.front.translator.ask(words)
+                ask = self.front.translator.ask(words, self.used_at - arrived_at)
             except BadCommandError as error:
                 self._bad(slot, str(error))
                 return
+            if trace.enabled:
+                trace("command", client=self.number, id=ask.id)
             self.errors = min(self.errors, FREE_ERRORS)
             self.front.post(Taken(slot, ask))
         elif name == b"PING":
@@ -179,7 +238,7 @@
         elif name in (b"CLIENT", b"SELECT"):
             slot.put(b"+OK\r\n")
         elif name == b"QUIT":
-            self.closing = True
+            self.closing, self.over_because = True, CloseReason.CLIENT_QUIT
             slot.put(b"+OK\r\n")
         else:
             self._bad(slot, "unknown command")
@@ -221,7 +280,7 @@
         try:
             done = self.outbox.flush(self.sock)
         except OSError:
-            self.end()
+            self.end(CloseReason.CONNECTION_BROKEN)
             return
         if done:
             self._written()
@@ -239,7 +298,7 @@
             self.writing = False
             self._written()
         except (OSError, anyio.ClosedResourceError):
-            self.end()
+            self.end(CloseReason.CONNECTION_BROKEN)
 
     def _written(self) -> None:
         self.used_at = self.front.clock()
@@ -255,24 +314,53 @@
         """Whether nothing of it is out, half read or unwritten."""
         return not (self.slots or self.outbox.size or self.inbox.start != self.inbox.end)
 
-    def close_if_idle(self) -> None:
+    def has_left(self) -> bool:
+        """Look whether it ended its sending, whatever is still to be read; it is closed then."""
+        if not self.ended and half_closed((self.sock,)):
+            self.end(CloseReason.CLIENT_LEFT)
+        return self.ended
+
+    def may_close(self, reason: CloseReason) -> bool:
+        """Ask the guard; what is already here is read first."""
+        unanswered = [slot for slot in self.slots if not slot.answered]
+        half_read = self.inbox.end - self.inbox.start
+        unwritten = self.outbox.size + self.unsent
+        unread = not (unanswered or unwritten or half_read) and not nothing_to_read(self.sock)
+        return guard.permit_close(reason, unanswered, unwritten, half_read, unread) is None
+
+    def close_if_idle(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Close between requests; one that is already here is read first."""
-        if self.ended or self.closing or not (self.is_idle() and nothing_to_read(self.sock)):
+        if self.ended or self.closing or not (self.is_idle() and self.may_close(reason)):
             return
         if self.front.clock() - self.used_at >= LINGER_NS:
-            self.end()
+            self.end(reason)
             return
-        self.part()
+        self.part(reason)
 
-    def part(self) -> None:
+    def part(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Read nothing more, and close behind the answers that are owed.
 
         Guards the last of them: a request that comes just now would turn a close into a reset that takes it.
         """
         if not self.closing:
+            self._refuse_what_was_read()
             self.closing = self.parting = True
+            self.over_because = reason
             self.reading.cancel()
 
+    def _refuse_what_was_read(self) -> None:
+        """Refuse the whole commands that were read and not begun; none is left without an answer."""
+        inbox = self.inbox
+        while inbox.start < inbox.end:
+            try:
+                piece = resp2.parse_command(inbox.data, inbox.start, inbox.end)
+            except resp2.RespError:
+                return
+            if piece is None:
+                return
+            _, inbox.start = piece
+            self._slot().put(b"-BUSY\r\n")
+
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
         front, now = self.front, self.front.clock()
@@ -282,7 +370,7 @@
         if self.ended:
             return
         if self.outbox.size and now - self.moved_at > STUCK_NS:
-            self.end()
+            self.end(CloseReason.NOT_READING)
             return
         if self.closing or now - since < patience:
             pass
@@ -290,7 +378,7 @@
             # Behind what is open on it, if anything: those answers come first.
             self.fail("the command was not whole in time")
         else:
-            self.close_if_idle()
+            self.close_if_idle(CloseReason.IDLE)
         if not self.ended:
             due = min(since + patience, now + CROWD_NS)
             self.mark = front.deadlines.add(due if due > now else now + CROWD_NS // 8, self._check)
@@ -307,7 +395,8 @@
         if self.parting:  # what comes now is not read: its client sends it again elsewhere
             await self._rest(patience / 1e9)
             return
-        mark = self.front.deadlines.add(self.front.clock() + patience, self.end)
+        over = partial(self.end, self.over_because)
+        mark = self.front.deadlines.add(self.front.clock() + patience, over)
         try:
             while left > 0:
                 inbox.start = inbox.end = 0
@@ -323,10 +412,17 @@
         finally:
             self.front.deadlines.discard(mark)
 
-    def end(self) -> None:
+    def end(self, reason: CloseReason = CloseReason.FAULT) -> None:
         """Close, and tell of requests that nobody waits for any more."""
         if self.ended:
             return
+        unanswered = sum(not slot.answered for slot in self.slots)
+        own_reason = reason not in guard.OF_THE_CLIENT
+        lost_input = own_reason and not (self.lingering or nothing_to_read(self.sock))
+        INVARIANTS.closed(unanswered, lost_input, own_reason, client=self.number, reason=str(reason))
+        COUNTERS.add(Counted.CLIENT_CLOSED, reason)
+        if trace.enabled:
+            trace("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
         self.ended = True
         self.front.deadlines.discard(self.mark)
         self.front.buffers -= self.buffered
@@ -363,8 +459,9 @@
 
     def _look(self) -> None:
         gone = half_closed(client.sock for client in self.unread)
-        for client in [client for client in self.unread if client.sock.fileno() in gone]:
-            client.end()
+        for client in list(self.unread):
+            if client.sock.fileno() in gone or not client.read_ahead():
+                client.end(CloseReason.CLIENT_LEFT)
         self.looking = bool(self.unread)
         if self.looking:
             self.deadlines.add(self.clock() + LOOK_NS, self._look)
@@ -389,7 +486,7 @@
             longest = min(halves, key=lambda c: c.used_at)
             longest.fail("no room for this command")
             if not longest.slots:
-                longest.end()
+                longest.end(CloseReason.PROTOCOL_ERROR)
 
     def relieve_answers(self) -> None:
         """Guard memory against clients that ask for much and read little: who holds most goes first."""
@@ -397,7 +494,7 @@
         while sum(held.values()) > self.answers_most:
             greatest = max(held, key=lambda client: held[client])
             del held[greatest]
-            greatest.end()
+            greatest.end(CloseReason.NOT_READING)
 
     def spared(self) -> list[Client]:
         """Those whose close costs nobody an answer, the least useful first."""
--- a/runloft/net/agreeing.py
+++ b/runloft/net/agreeing.py
@@ -32,9 +32,9 @@
 )
 from runloft.config.faults import ConfigError
 from runloft.config.settings import AgreementSettings, Config, config_from_json
-from runloft.core.model import Withheld
+from runloft.core.model import SuspendedVolumes
 from runloft.sharing.agreement import AgreementStore, StoreError
-from runloft.sharing.copy import CopyError, LocalCopy
+from runloft.sharing.copy import CopyError, CopyWriter, LocalCopy
 
 log = structlog.get_logger()
 
@@ -50,6 +50,7 @@
     held: tuple[str, ...] = ()
     copy_age_s: float = -1.0
     failures: int = 0
+    copy_failures: int = 0
     exchanges: int = 0
     sayings: list[str] = field(default_factory=list)
 
@@ -68,6 +69,7 @@
         self.timeout_s = timeout_s = settings.lease_ns / 1e9 / 4  # of one exchange or write
         self.store = store or AgreementStore(settings.store, settings.prefix, settings.lease_ns, timeout_s)
         self.copy = LocalCopy(settings.directory, own.name)
+        self.writer = CopyWriter(self.copy)
         self.standing = Standing()
         self._running = anyio.CancelScope()
         self._told: tuple[Difference, ...] = ()
@@ -85,7 +87,7 @@
     def start(self) -> Config:
         """Begin with the copy that this machine has kept; give what is gone by: without reserves, as yet."""
         try:
-            kept = self.copy.read()
+            kept = self.copy.read_patiently()
         except CopyError as error:
             log.warning("the local copy is passed over", error=str(error))
             kept = None
@@ -128,7 +130,7 @@
         known = config.objects.volumes if config.objects else {}
         ids = {volume.id for name, volume in known.items() if name in volumes}
         numbers = {index for index, name in enumerate(config.plan_names) if name in plans}
-        return replace(config, held=Withheld(frozenset(numbers), frozenset(ids)))
+        return replace(config, held=SuspendedVolumes(frozenset(numbers), frozenset(ids)))
 
     def _settled(self, got: Effective) -> None:
         differences = tuple((d.what, d.name, d.key) for d in got.differences)
@@ -155,6 +157,7 @@
                 await anyio.sleep(wait / 1e9)
             await self._carry_out(self.member.due(self.clock()))
             self.standing.connected = self.member.connected(self.clock())
+            self.standing.copy_failures = self.writer.failures
 
     async def stop(self) -> None:
         """Leave in order, if the store answers soon; no exchange comes after that and takes it back."""
@@ -165,7 +168,7 @@
             except StoreError as error:
                 log.info("left without the store's knowing", error=str(error))
             await self.store.close()
-        self.copy.close()
+        self.writer.stop()
 
     async def _carry_out(self, effects: list[Effect]) -> None:
         for effect in effects:
@@ -177,10 +180,7 @@
                     self.standing.reserves = reserves
                     self.take(self.agreed(self.own))
                 case Keep(force):
-                    try:
-                        await anyio.to_thread.run_sync(self.copy.keep, force)
-                    except CopyError as error:
-                        log.warning("no local copy was kept", error=str(error))
+                    self.writer.keep(force)
                 case Say():
                     self._say(effect)
                 case Restore() | Found() | Extend() | Begin() | Settle():
--- a/runloft/net/runner.py
+++ b/runloft/net/runner.py
@@ -11,15 +11,27 @@
 import structlog
 
 from runloft.config.settings import Config, ObjectSettings
-from runloft.core.deadlines import Deadlines
-from runloft.core.model import Abandon, Answer, Begin, Closing, Dispatch, Effect, Event, Listed, NodeNews
+from runloft.core.counters import COUNTERS
+from runloft.core.invariants import INVARIANTS
+from runloft.core.model import (
+    AbortAttempt,
+    Answer,
+    Begin,
+    Closing,
+    Dispatch,
+    Effect,
+    Event,
+    NodeListUpdate,
+    NodeUpdate,
+)
 from runloft.core.reducer import Core
+from runloft.core.timers import TimerQueue
 from runloft.decisions.contract import ListKind
 from runloft.fronts.resp import RespFront
 from runloft.net.discovery import Watch, listed
 from runloft.net.links import NodeLink, RespConnection
 from runloft.net.reload import Configured, Reload
-from runloft.net.sockets import close, listening
+from runloft.net.sockets import close, listening_when_possible
 from runloft.net.timing import pause
 
 if TYPE_CHECKING:
@@ -32,6 +44,7 @@
 FINISH_NS = 350_000_000  # of those 0.7 s, for what is still open; the rest is for the way out
 LAST_NS = 250_000_000  # for clients to read and close once all is answered
 LATE_NS = 15_000_000
+CLOCK_STEP_NS = 500_000_000  # by which the wall clock has to be off to be in doubt
 
 
 class Clock:
@@ -44,6 +57,10 @@
         """Give the time in nanoseconds."""
         return self._offset + time.monotonic_ns()
 
+    def error_ns(self) -> int:
+        """Give by how much the wall clock is ahead of this one: it was stepped since, or at the start."""
+        return time.time_ns() - self()
+
 
 class Link(Protocol):
     """A way to storage nodes."""
@@ -54,7 +71,7 @@
     def abandon(self, attempt: int) -> None:
         """Close an attempt's connection, if it is this link's."""
 
-    def listed(self, nodes: tuple[NodeNews, ...]) -> None:
+    def listed(self, nodes: tuple[NodeUpdate, ...]) -> None:
         """Heed news of the nodes."""
 
     def configure(self, config: Config) -> None:
@@ -87,8 +104,9 @@
 class Runner:
     """The turn: what has come since the last one goes to the reducer in one step."""
 
-    def __init__(self, core: Core, deadlines: Deadlines, clock: Callable[[], int]) -> None:
+    def __init__(self, core: Core, deadlines: TimerQueue, clock: Callable[[], int]) -> None:
         self.core, self.deadlines, self.clock = core, deadlines, clock
+        self.clock_error_ns: Callable[[], int] = lambda: 0
         self.links: dict[str, Link] = {}
         self.events: list[Event] = []
         self._wake = anyio.Event()
@@ -123,7 +141,8 @@
     def _turn(self) -> None:
         events, self.events = self.events, []
         for event in events:
-            if isinstance(event, Listed):
+            if isinstance(event, NodeListUpdate):
+                self.core.clock_in_doubt |= abs(self.clock_error_ns()) > CLOCK_STEP_NS
                 for link in self.links.values():
                     link.listed(event.nodes)
         self.carry_out(self.core.step(self.clock(), events))
@@ -134,7 +153,7 @@
             match effect:
                 case Dispatch():
                     self.links[effect.payload.wire].dispatch(effect)
-                case Abandon(attempt):
+                case AbortAttempt(attempt):
                     for link in self.links.values():
                         link.abandon(attempt)
                 case Answer(asker, reply):
@@ -145,7 +164,7 @@
 
 async def serve(config: Config, path: str | None = None) -> None:
     """Run one scheduler until it is told to stop and all that it took is answered."""
-    clock, deadlines = Clock(), Deadlines()
+    clock, deadlines = Clock(), TimerQueue()
     agreeing = None
     if config.agreement:
         # Loaded here, like the object front: only where an operator's file sets it up.
@@ -160,12 +179,14 @@
 
         core.observer = Ledger(config.settings, config.account_volumes)
     runner = Runner(core, deadlines, clock)
+    runner.clock_error_ns = clock.error_ns
     signals = anyio.open_signal_receiver(signal.SIGTERM, signal.SIGINT, signal.SIGHUP)
     with signals as received:
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))  # one that came before is heeded now
         await _serve(config, path, runner, received, agreeing)
         # Guards the exit code: what is left is the way out, whatever signal still comes.
         signal.pthread_sigmask(signal.SIG_BLOCK, (signal.SIGTERM, signal.SIGINT, signal.SIGHUP))
+    log.info("totals", name=config.name, violations=INVARIANTS.totals(), **COUNTERS.totals())
     log.info("stopped", name=config.name)
 
 
@@ -185,11 +206,12 @@
             clock,
             config,
             kind=RespConnection,
-            may_begin=core.may_begin,
+            permit=core.permit_first_byte,
+            begin=core.begin_attempt,
             part=4 if config.objects else 2,  # the other half of the descriptors is the clients'
         )
         fronts: list[Front] = [RespFront(group, runner.post, deadlines, clock, config)]
-        listeners = [listening(config.listen)]
+        listeners = [await listening_when_possible(config.listen)]
         store = None
         if config.objects:
             # Loaded here: the platform, where it is off, needs neither its memory nor its start-up time.
@@ -201,7 +223,7 @@
             fronts.append(
                 ObjectFront(group, runner.post, deadlines, clock, config, config.objects, store)
             )
-            listeners.append(listening(config.objects.listen))
+            listeners.append(await listening_when_possible(config.objects.listen))
             runner.links["http"] = NodeLink(
                 group,
                 runner.post,
@@ -209,7 +231,8 @@
                 clock,
                 config,
                 kind=HttpConnection,
-                may_begin=core.may_begin,
+                permit=core.permit_first_byte,
+                begin=core.begin_attempt,
                 part=8,
                 endpoint=partial(object_endpoint, config.objects),
             )
@@ -232,7 +255,7 @@
             host, port = listener.getsockname()
             log.info("serving", name=config.name, front=type(front).__name__, at=f"{host}:{port}")
         parts: list[Configured] = [*fronts, *runner.links.values()]
-        reload = Reload(path, config, watch, runner.post, parts)
+        reload = Reload(path, config, watch, runner.post, parts, deadlines=deadlines, clock=clock)
         if agreeing:
             reload.agreed, agreeing.take = agreeing.agreed, reload.take
             group.start_soon(agreeing.run)
@@ -255,7 +278,7 @@
         group.cancel_scope.cancel()
 
 
-def object_endpoint(settings: ObjectSettings, news: NodeNews) -> str:
+def object_endpoint(settings: ObjectSettings, news: NodeUpdate) -> str:
     """Find a node's object server: as its entry says, or at the port of the operator's file."""
     host = news.endpoint.rpartition(":")[0]
     return news.object_endpoint or f"{host}:{settings.server_port}"
