--- a/runloft/fronts/resp.py
+++ b/runloft/fronts/resp.py
@@ -15,10 +15,11 @@
 from runloft.config.settings import Config
 from runloft.core import guard
 from runloft.core.counters import COUNTERS, Counted
-from runloft.core.deadlines import Mark
 from runloft.core.guard import CloseReason
 from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.model import Left, Refused, Rejected, Reply, Served, Taken
+from runloft.core.timers import TimerHandle
+from runloft.core.trace import trace
 from runloft.fronts.accepting import FRESH_NS, AcceptingFront
 from runloft.fronts.grammar import BadCommandError, Translator
 from runloft.net import resp2
@@ -103,7 +104,7 @@
         # Last whole command or answer, last byte that it took, and since when a command is half read.
         self.used_at = self.moved_at = self.half_since = front.clock()
         self.accepted_late = front.was_full  # what is here may have waited for it
-        self.mark: Mark | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
+        self.mark: TimerHandle | None = front.deadlines.add(self.used_at + SPEAK_NS, self._check)
 
     async def run(self) -> None:
         """Read commands until the client closes, its framing is lost or it does not keep to its times."""
@@ -151,10 +152,13 @@
         except BlockingIOError:
             self.unread_since, self.accepted_late = None, False  # what comes next comes now
             raise
-        now = self.front.clock()
-        if self.accepted_late:
-            now -= data_age_ns(self.sock)
-        self.arrivals.add(got, now if self.unread_since is None else self.unread_since)
+        came_at = self.unread_since
+        if came_at is None:
+            came_at = self.front.clock() - (data_age_ns(self.sock) if self.accepted_late else 0)
+        self.arrivals.add(got, came_at)
+        # A read that filled the buffer may have left bytes in the socket, which are as old as these.
+        self.unread_since = came_at if self.inbox.is_filled() else None
+        self.accepted_late = self.accepted_late and self.inbox.is_filled()
         self._account()
         return got
 
@@ -225,7 +229,8 @@
             except BadCommandError as error:
                 self._bad(slot, str(error))
                 return
-            log.debug("command", client=self.number, id=ask.id)
+            if trace.enabled:
+                trace("command", client=self.number, id=ask.id)
             self.errors = min(self.errors, FREE_ERRORS)
             self.front.post(Taken(slot, ask))
         elif name == b"PING":
@@ -338,10 +343,24 @@
         Guards the last of them: a request that comes just now would turn a close into a reset that takes it.
         """
         if not self.closing:
+            self._refuse_what_was_read()
             self.closing = self.parting = True
             self.over_because = reason
             self.reading.cancel()
 
+    def _refuse_what_was_read(self) -> None:
+        """Refuse the whole commands that were read and not begun; none is left without an answer."""
+        inbox = self.inbox
+        while inbox.start < inbox.end:
+            try:
+                piece = resp2.parse_command(inbox.data, inbox.start, inbox.end)
+            except resp2.RespError:
+                return
+            if piece is None:
+                return
+            _, inbox.start = piece
+            self._slot().put(b"-BUSY\r\n")
+
     def _check(self) -> None:
         """Close a client that keeps a descriptor and asks for nothing; a trickle buys it no time."""
         front, now = self.front, self.front.clock()
@@ -402,7 +421,8 @@
         lost_input = own_reason and not (self.lingering or nothing_to_read(self.sock))
         INVARIANTS.closed(unanswered, lost_input, own_reason, client=self.number, reason=str(reason))
         COUNTERS.add(Counted.CLIENT_CLOSED, reason)
-        log.debug("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
+        if trace.enabled:
+            trace("client closed", client=self.number, reason=str(reason), unanswered=unanswered)
         self.ended = True
         self.front.deadlines.discard(self.mark)
         self.front.buffers -= self.buffered
