--- a/tests/test_standing_objects.py
+++ b/tests/test_standing_objects.py
@@ -21,7 +21,13 @@
 class Store:
     object_key = staticmethod(lambda volume, key: key)
 
+    def __init__(self):
+        self.asked, self.answers = 0, anyio.Event()
+        self.answers.set()
+
     async def get(self, key):
+        self.asked += 1
+        await self.answers.wait()
         return Place(0, SIZE)
 
 
@@ -181,3 +187,28 @@
             sock.close()
 
     play(story)
+
+
+@pytest.mark.parametrize("leaves", [False, True])
+def test_a_client_that_leaves_while_the_store_is_asked_is_begun_for_no_more(leaves):
+    """Its request was sent on first and called off then; and its time ran from the store's answer."""
+
+    async def story(scene):
+        scene.front.store.answers = anyio.Event()
+        sock, client = scene.connect()
+        sock.sendall(ASK.replace(b"Host", b"X-Expires-In-Ms: 900\r\nHost"))
+        await scene.until(lambda: scene.front.store.asked)
+        scene.wait(400)
+        if leaves:
+            sock.close()
+        scene.front.store.answers.set()
+        if leaves:
+            await scene.until(lambda: client.ended)
+            assert not scene.posted
+        else:
+            await scene.until(scene.asked)
+            assert scene.posted[0].ask.time_left_ns == 500 * MS
+            sock.close()
+            await scene.until(lambda: client.ended)
+
+    play(story)
