Have a flood in the socket before any of it is read, in its test

Cause: the test took all for sent that a thread was sending. Change: it is sent before the connection is accepted; the assertion is as it was, and fails without the code that it is for.

--- a/tests/test_told_wait.py
+++ b/tests/test_told_wait.py
@@ -116,8 +116,9 @@
     """Read piece by piece, each piece counted as new, though all of it had been in the socket."""
 
     async def story(scene):
-        sock = scene.connect()
-        await anyio.to_thread.run_sync(sock.sendall, read_command(0) * PIPELINED)
+        sock = socket.create_connection(scene.listener.getsockname(), timeout=10)
+        sock.sendall(read_command(0) * PIPELINED)  # all of it is here before any of it is read
+        scene.front.accept_waiting(scene.listener)
         real, taking = scene.front.post, []
 
         def post(event):
