--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,6 +12,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
+from runloft.lab.soak import commands
 from runloft.lab.soak import schedule as schedules
 from runloft.lab.soak.commands import TIMED_RULES, SeedResult, Verdict
 from runloft.lab.soak.oracles import Violation, check
@@ -196,3 +197,15 @@
     finally:
         soak.kill()
         soak.wait()
+
+
+def test_a_failing_schedule_is_shrunk_to_what_still_fails(monkeypatch):
+    drawn = draw(3, 10, 30.0)
+    culprit = drawn.troubles[5]
+
+    def played(schedule, _):
+        broken = (Violation("unsafe repeat", ID, ""),) if culprit in schedule.troubles else ()
+        return SeedResult(schedule, 1, 1, {}, 0.0, broken)
+
+    monkeypatch.setattr(commands, "_once", played)
+    assert commands.shrunk(played(drawn, None), None).schedule.troubles == (culprit,)
