Call the suspended volumes' own check, and drop what nothing uses

Cause: guard.is_suspended wrapped SuspendedVolumes.covers and had one caller; CloseReason.MEMORY and a process's count of starts in the soak were never read. Change: the reducer asks covers itself; the two are gone. Behaviour is as it was. Measured: lint, types and 106 tests of guard, core, soak and sharing pass; the whole suite was not run again on this commit.

--- a/runloft/core/guard.py
+++ b/runloft/core/guard.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import StrEnum
 
-from runloft.core.model import Bounds, NodeUpdate, ResponseSink, SuspendedVolumes
+from runloft.core.model import Bounds, NodeUpdate, ResponseSink
 from runloft.core.records import Attempt, PendingRequest
 from runloft.decisions.contract import Effect, NodeState, Settings
 
@@ -53,7 +53,6 @@
     NOT_READING = "client does not read"
     IDLE = "idle"
     MAKE_ROOM = "make room"
-    MEMORY = "memory"
     SHUTDOWN = "shutdown"
     FAULT = "fault"
 
@@ -106,11 +105,6 @@
     return StartRefusal.ID_IN_USE if id_known else None
 
 
-def is_suspended(suspended: SuspendedVolumes, plan: int, volume: int) -> bool:
-    """Say whether nothing in force says how to serve it."""
-    return suspended.covers(plan, volume)
-
-
 def permit_repeat(request: PendingRequest, settings: Settings, now: int) -> SendRefusal | None:
     """Say why no further attempt may leave for a request of which one may have run."""
     if request.doubt_at is None:
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -173,7 +173,7 @@
             size,
             self.bounds,
             id_known=bool(ask.id) and name in self.ids,
-            suspended=guard.is_suspended(self.held, ask.plan, ask.volume),
+            suspended=self.held.covers(ask.plan, ask.volume),
         )
         if refusal is not None:
             COUNTERS.add(Counted.NOT_STARTED, refusal)
--- a/runloft/lab/soak/processes.py
+++ b/runloft/lab/soak/processes.py
@@ -58,7 +58,7 @@
         self, index: int, port: int, schedule: Schedule, folder: Path, discovery: str, record: RunRecord,
         epoch: float,
     ) -> None:  # fmt: skip
-        self.index, self.port, self.discovery, self.starts = index, port, discovery, 0
+        self.index, self.port, self.discovery = index, port, discovery
         self.schedule, self.folder, self.record, self.epoch = schedule, folder, record, epoch
         self.process: anyio.abc.Process | None = None
         self.restarting = False  # one trouble at a time ends and starts it
@@ -93,7 +93,6 @@
 
     async def spawn(self, path: Path) -> None:
         """Start it and wait until it serves."""
-        self.starts += 1
         at = self.log.stat().st_size if self.log.exists() else 0
         command = [sys.executable, "-m", "runloft.lab.soak.shim", "serve", "--verbose", "--config", str(path)]
         variables = os.environ | {"NO_COLOR": "1"} | environment(self._faults(), self.index)
