--- a/review/kit.py
+++ b/review/kit.py
@@ -28,6 +28,7 @@
 
 RULE_HELD, RULE_BROKEN, COULD_NOT_RUN = 0, 1, 2
 TIME_LIMIT_S = 110.0
+FLUSH_INTERVAL_S = 0.2
 LIST_HEARTBEAT_S = 2.0
 MS = 1_000_000
 
@@ -43,6 +44,7 @@
         self._file = path.open("w")
         self._lock = threading.Lock()
         self._started_at = time.monotonic()
+        self._flushed_at = 0.0
 
     def now(self):
         """Return the seconds since the start."""
@@ -50,8 +52,16 @@
 
     def __call__(self, who, text):
         """Write one line."""
+        now = self.now()
+        with self._lock:
+            self._file.write(f"{now:8.3f}  {who:<12} {text}\n")
+            if now - self._flushed_at > FLUSH_INTERVAL_S:
+                self._file.flush()
+                self._flushed_at = now
+
+    def close(self):
+        """Write what is buffered."""
         with self._lock:
-            self._file.write(f"{self.now():8.3f}  {who:<12} {text}\n")
             self._file.flush()
 
 
@@ -517,6 +527,8 @@
     record = Record(Path(folder) / "record.txt")
     work = Path(tempfile.mkdtemp(prefix="review-"))
     threading.Timer(TIME_LIMIT_S, _give_up, (record,)).start()
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, lambda *_: sys.exit(COULD_NOT_RUN))  # the processes started are ended below
     status = COULD_NOT_RUN
     _STACKS.append(stack := contextlib.ExitStack())
     try:
@@ -533,6 +545,7 @@
         stack.close()
         shutil.rmtree(work, ignore_errors=True)
         record("case", f"exit status {status}")
+        record.close()
         print({RULE_HELD: "held", RULE_BROKEN: "broken", COULD_NOT_RUN: "could not run"}[status])
         sys.stdout.flush()
         os._exit(status)
@@ -543,6 +556,7 @@
 
 def _give_up(record):
     record("case", "time limit reached")
+    record.close()
     for stack in _STACKS:
         stack.close()
     os._exit(COULD_NOT_RUN)
