Log each change of an object's placement at debug level

Change: PlacementDirectory logs each placement that it records or deletes, with the operation, the shard and the size.

--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -1,10 +1,14 @@
 """Placements of objects and uploads: looked up in the shared store, and recorded after a node has acted."""
 
+import structlog
+
 from runloft.listeners.objects.errors import NothingToDeleteError, ObjectApiError
 from runloft.listeners.objects.operations import Operation, OperationKind
 from runloft.placement.store import Placement, PlacementStore
 from runloft.upstream.response_stream import ResponseStream
 
+log = structlog.get_logger()
+
 
 class PlacementDirectory:
     """Finds and records the placements of operations' objects, in a store that the caller owns.
@@ -39,16 +43,17 @@
             return
         match operation.kind:
             case OperationKind.PUT:
-                await self.store.put(self._object_key(operation), Placement(shard, body_size))
+                await self._put_object(operation, Placement(shard, body_size))
             case OperationKind.CREATE_UPLOAD:
                 await self.store.put(self._upload_key(operation), Placement(shard), upload=True)
             case OperationKind.COMPLETE_UPLOAD:
-                await self.store.put(self._object_key(operation), Placement(shard))
+                await self._put_object(operation, Placement(shard))
                 await self.store.delete(self._upload_key(operation))
             case OperationKind.ABORT_UPLOAD:
                 await self.store.delete(self._upload_key(operation))
             case OperationKind.DELETE:
                 await self.store.delete(self._object_key(operation))
+                log.debug("placement deleted", operation=operation.kind, key=self._object_key(operation))
             case OperationKind.GET | OperationKind.HEAD if stream.status == 200:
                 await self._record_size(operation, stream)
 
@@ -58,7 +63,18 @@
         length = next((value for name, value in stream.headers if name.lower() == b"content-length"), b"")
         placement = await self.store.get(object_key)
         if length.isdigit() and placement and placement.size < 0:
-            await self.store.put(object_key, Placement(placement.shard, int(length)))
+            await self._put_object(operation, Placement(placement.shard, int(length)))
+
+    async def _put_object(self, operation: Operation, placement: Placement) -> None:
+        object_key = self._object_key(operation)
+        await self.store.put(object_key, placement)
+        log.debug(
+            "placement recorded",
+            operation=operation.kind,
+            key=object_key,
+            shard=placement.shard,
+            size=placement.size,
+        )
 
     def _object_key(self, operation: Operation) -> str:
         return self.store.object_key(operation.volume, operation.key)
