Share the optimistic transaction of a Redis client between packages

Cause: the loop around WATCH and EXEC stood in the agreement's store alone; the placement store needs the same one. Change: run_transaction in runloft/net/redis_transaction.py; the agreement's store calls it and converts its contention error. Behaviour is the same.

--- a/runloft/agreement/store.py
+++ b/runloft/agreement/store.py
@@ -14,7 +14,7 @@
 import redis.asyncio
 from redis.asyncio.retry import Retry
 from redis.backoff import NoBackoff
-from redis.exceptions import RedisError, WatchError
+from redis.exceptions import RedisError
 
 from runloft.agreement.codec import encode_lease, encode_verdict
 from runloft.agreement.effects import (
@@ -38,9 +38,9 @@
 from runloft.agreement.store_protocol import VERDICT_LIFETIME_LEASES, StoreKeys
 from runloft.agreement.store_reader import SMALL_RECORD_COUNT, StoreReader
 from runloft.agreement.store_transactions import StoreTransactions
+from runloft.net.redis_transaction import TransactionContentionError, run_transaction
 
 MAX_CONNECTIONS = 2
-MAX_TRANSACTION_ATTEMPTS = 8
 NS_PER_MS = 1_000_000
 T = TypeVar("T")
 
@@ -166,27 +166,14 @@
 
     async def _transact(self, prepare: Callable[[Any], Awaitable[bool]], *watched: str) -> bool:
         """Execute a write that ``prepare`` checks and queues; return whether it was executed."""
-        return await self._convert_errors(lambda: self._execute(prepare, watched))
-
-    async def _execute(self, prepare: Callable[[Any], Awaitable[bool]], watched: tuple[str, ...]) -> bool:
-        for _ in range(MAX_TRANSACTION_ATTEMPTS):
-            async with self._redis.pipeline(transaction=True) as pipe:
-                await pipe.watch(*watched)
-                if not await prepare(pipe):
-                    return False
-                try:
-                    await pipe.execute()
-                except WatchError:
-                    continue  # another client has changed a watched key: check again
-                return True
-        raise StoreContentionError(
-            f"transaction failed {MAX_TRANSACTION_ATTEMPTS} times: other clients changed its keys each time"
-        )
+        return await self._convert_errors(lambda: run_transaction(self._redis, prepare, *watched))
 
     async def _convert_errors(self, operation: Callable[[], Awaitable[T]]) -> T:
         """Run an operation; convert the exceptions that the store can cause to StoreError."""
         try:
             return await operation()
+        except TransactionContentionError as error:
+            raise StoreContentionError(str(error)) from error
         except (RedisError, OSError, TimeoutError) as error:
             raise StoreUnavailableError(f"{type(error).__name__}: {error}") from error
         except (RecordError, TypeError, ValueError, IndexError, AttributeError) as error:
--- /dev/null
+++ b/runloft/net/redis_transaction.py
@@ -0,0 +1,37 @@
+"""Optimistic transactions of a Redis client: writes that depend on what the store holds."""
+
+from collections.abc import Awaitable, Callable
+from typing import Any
+
+from redis.exceptions import WatchError
+
+from runloft.errors import RunloftError
+
+MAX_TRANSACTION_ATTEMPTS = 8
+
+
+class TransactionContentionError(RunloftError):
+    """Other clients changed the watched keys during every attempt of a transaction."""
+
+
+async def run_transaction(client: Any, prepare: Callable[[Any], Awaitable[bool]], *watched: str) -> bool:
+    """Execute a write that ``prepare`` checks and queues; return whether it was executed.
+
+    ``prepare`` takes the pipeline of a transaction whose keys ``watched`` are watched.  It reads what the
+    write depends on, then either queues the commands after ``multi()`` and returns True, or returns False.
+    If a watched key changes before the execution, it is called again.  Raise TransactionContentionError if
+    that happens too often, and the client's exceptions if the store fails.
+    """
+    for _ in range(MAX_TRANSACTION_ATTEMPTS):
+        async with client.pipeline(transaction=True) as pipe:
+            await pipe.watch(*watched)
+            if not await prepare(pipe):
+                return False
+            try:
+                await pipe.execute()
+            except WatchError:
+                continue
+            return True
+    raise TransactionContentionError(
+        f"transaction failed {MAX_TRANSACTION_ATTEMPTS} times: other clients changed its keys each time"
+    )
