Record an object's size only if its placement is unchanged since the lookup

Cause: PlacementDirectory._record_size read the placement and wrote it back with the size, in two commands without a condition; the write carried the shard that it had read. Fix: PlacementStore.compare_and_set watches, compares with the placement that the read was routed by, and writes in one transaction. Any change before the write prevents it, so a read can no longer write a shard that is not current. A size that differs from the recorded one is corrected; a read with a known size sends no second command to the store. Test: tests/listeners/test_object_placements.py executes another sidecar's write after each command of a read.

--- a/runloft/listeners/objects/forwarding.py
+++ b/runloft/listeners/objects/forwarding.py
@@ -14,6 +14,7 @@
 from runloft.listeners.objects.exchange import Exchange
 from runloft.listeners.objects.limits import MIN_REMAINING_TIME_NS
 from runloft.listeners.objects.operations import Operation, OperationKind
+from runloft.listeners.objects.placement import RoutedOperation
 from runloft.listeners.objects.reading import RequestReader
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.translation import Headers
@@ -68,11 +69,9 @@
         # The client's timeout runs from its request's last byte and includes the store lookup.
         remaining_ns = request.time_left_ns - (services.clock() - received_at)
         request = replace(request, time_left_ns=max(remaining_ns, MIN_REMAINING_TIME_NS))
-        await self._exchange(operation, request, exchange, len(body))
+        await self._exchange(RoutedOperation(operation, placement, len(body)), request, exchange)
 
-    async def _exchange(
-        self, operation: Operation, request: RequestSpec, exchange: Exchange, body_size: int
-    ) -> None:
+    async def _exchange(self, routed: RoutedOperation, request: RequestSpec, exchange: Exchange) -> None:
         """Post the request and forward its response, unless the client disconnects first."""
         failure: Exception | None = None
         self._services.post(RequestReceived(exchange, request))
@@ -84,7 +83,7 @@
                     if exchange.stream is None:
                         assert exchange.reply is not None
                         raise error_from_reply(exchange.reply)
-                    await self._forward_response(operation, exchange, exchange.stream, body_size)
+                    await self._forward_response(routed, exchange, exchange.stream)
                 except (ObjectApiError, OSError, h11.ProtocolError, anyio.ClosedResourceError) as error:
                     failure = error
                 group.cancel_scope.cancel()
@@ -103,21 +102,21 @@
         scope.cancel()
 
     async def _forward_response(
-        self, operation: Operation, exchange: Exchange, stream: ResponseStream, body_size: int
+        self, routed: RoutedOperation, exchange: Exchange, stream: ResponseStream
     ) -> None:
         """Record the placement and forward a response as it arrives."""
-        is_creation = operation.kind is OperationKind.CREATE_UPLOAD
+        is_creation = routed.operation.kind is OperationKind.CREATE_UPLOAD
         if is_creation:
             while await stream.next_chunk() is not None:
                 pass
             if stream.broken:
                 raise error_from_reply(exchange.reply or Failed(AttemptOutcome.RESET))
         try:
-            await self._services.placements.record(operation, stream, exchange.shard, body_size)
+            await self._services.placements.record(routed, stream, exchange.shard)
         except StoreUnavailableError as error:
             raise self._store_error(error) from None
         if is_creation and stream.status < 300:
-            await self._writer.write_document(200, upload_created_document(operation))
+            await self._writer.write_document(200, upload_created_document(routed.operation))
             return
         await self._write_stream(stream)
 
--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -1,5 +1,7 @@
 """Placements of objects and uploads: looked up in the shared store, and recorded after a node has acted."""
 
+from dataclasses import dataclass
+
 import structlog
 
 from runloft.listeners.objects.errors import NothingToDeleteError, ObjectApiError
@@ -10,6 +12,15 @@
 log = structlog.get_logger()
 
 
+@dataclass(frozen=True, slots=True)
+class RoutedOperation:
+    """An operation that is forwarded by the placement that the store had for it, None if it had none."""
+
+    operation: Operation
+    placement: Placement | None
+    body_size: int  # bytes
+
+
 class PlacementDirectory:
     """Finds and records the placements of operations' objects, in a store that the caller owns.
 
@@ -37,13 +48,14 @@
             raise NothingToDeleteError
         return placement
 
-    async def record(self, operation: Operation, stream: ResponseStream, shard: int, body_size: int) -> None:
-        """Update the store after a node has acted, as the status of its response reports."""
+    async def record(self, routed: RoutedOperation, stream: ResponseStream, shard: int) -> None:
+        """Update the store after a node of ``shard`` has acted, as the status of its response reports."""
         if stream.status >= 300:
             return
+        operation = routed.operation
         match operation.kind:
             case OperationKind.PUT:
-                await self._put_object(operation, Placement(shard, body_size))
+                await self._put_object(operation, Placement(shard, routed.body_size))
             case OperationKind.CREATE_UPLOAD:
                 await self.store.put(self._upload_key(operation), Placement(shard), upload=True)
             case OperationKind.COMPLETE_UPLOAD:
@@ -55,23 +67,32 @@
                 await self.store.delete(self._object_key(operation))
                 log.debug("placement deleted", operation=operation.kind, key=self._object_key(operation))
             case OperationKind.GET | OperationKind.HEAD if stream.status == 200:
-                await self._record_size(operation, stream)
+                await self._record_size(routed, stream)
 
-    async def _record_size(self, operation: Operation, stream: ResponseStream) -> None:
-        """Record an assembled object's size, first known from a response; it sets later requests' units."""
-        object_key = self._object_key(operation)
+    async def _record_size(self, routed: RoutedOperation, stream: ResponseStream) -> None:
+        """Record the size of the object that was read if it differs; it sets later requests' units.
+
+        A placement that another request has changed since the lookup is kept: it may name another shard.
+        """
+        found = routed.placement
         length = next((value for name, value in stream.headers if name.lower() == b"content-length"), b"")
-        placement = await self.store.get(object_key)
-        if length.isdigit() and placement and placement.size < 0:
-            await self._put_object(operation, Placement(placement.shard, int(length)))
+        if found is None or not length.isdigit() or found.size == int(length):
+            return
+        placement = Placement(found.shard, int(length))
+        if await self.store.compare_and_set(self._object_key(routed.operation), found, placement):
+            self._log_recorded(routed.operation, placement)
+        else:
+            log.debug("placement changed during a read", key=self._object_key(routed.operation))
 
     async def _put_object(self, operation: Operation, placement: Placement) -> None:
-        object_key = self._object_key(operation)
-        await self.store.put(object_key, placement)
+        await self.store.put(self._object_key(operation), placement)
+        self._log_recorded(operation, placement)
+
+    def _log_recorded(self, operation: Operation, placement: Placement) -> None:
         log.debug(
             "placement recorded",
             operation=operation.kind,
-            key=object_key,
+            key=self._object_key(operation),
             shard=placement.shard,
             size=placement.size,
         )
--- a/runloft/placement/store.py
+++ b/runloft/placement/store.py
@@ -6,6 +6,7 @@
 from collections.abc import Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
+from typing import Any
 
 import redis.asyncio
 from redis.asyncio.retry import Retry
@@ -13,6 +14,7 @@
 from redis.exceptions import RedisError
 
 from runloft.errors import RunloftError
+from runloft.net.redis_transaction import TransactionContentionError, run_transaction
 
 MAX_CONNECTIONS = 16
 UPLOAD_TTL_S = 7 * 24 * 3600  # expires uploads that are neither completed nor aborted
@@ -67,22 +69,30 @@
         """Return the placement of a key, None if it has none; raise StoreUnavailableError on failure."""
         with _unavailable_errors(name):
             value = await self._redis.get(name)
-        if value is None:
-            return None
-        try:
-            text = value.decode() if isinstance(value, bytes) else value
-            shard, _, size = text.partition(" ")
-            return Placement(int(shard), int(size or UNKNOWN_SIZE))
-        except ValueError as error:
-            raise StoreUnavailableError(
-                f"invalid placement at key {name}, expected SHARD SIZE", name
-            ) from error
+        return _decode(name, value)
 
     async def put(self, name: str, placement: Placement, upload: bool = False) -> None:
         """Store a placement, with an expiry for an upload; raise StoreUnavailableError on failure."""
         with _unavailable_errors(name):
             ttl_s = UPLOAD_TTL_S if upload else None
-            await self._redis.set(name, f"{placement.shard} {placement.size}", ex=ttl_s)
+            await self._redis.set(name, _encode(placement), ex=ttl_s)
+
+    async def compare_and_set(self, name: str, expected: Placement, placement: Placement) -> bool:
+        """Store an object's placement if the key still has ``expected``; return whether it was stored.
+
+        A change between the comparison and the write prevents the write, even a change back to ``expected``.
+        Raise StoreUnavailableError on failure.
+        """
+
+        async def prepare(pipe: Any) -> bool:
+            if _decode(name, await pipe.get(name)) != expected:
+                return False
+            pipe.multi()
+            pipe.set(name, _encode(placement))
+            return True
+
+        with _unavailable_errors(name):
+            return await run_transaction(self._redis, prepare, name)
 
     async def delete(self, name: str) -> None:
         """Delete a placement; raise StoreUnavailableError on failure."""
@@ -94,10 +104,29 @@
         await self._redis.aclose()
 
 
+def _encode(placement: Placement) -> str:
+    return f"{placement.shard} {placement.size}"
+
+
+def _decode(name: str, value: bytes | str | None) -> Placement | None:
+    """Return the placement of a stored value, None for a missing one.
+
+    Raise StoreUnavailableError if the value is invalid.
+    """
+    if value is None:
+        return None
+    try:
+        text = value.decode() if isinstance(value, bytes) else value
+        shard, _, size = text.partition(" ")
+        return Placement(int(shard), int(size or UNKNOWN_SIZE))
+    except ValueError as error:
+        raise StoreUnavailableError(f"invalid placement at key {name}, expected SHARD SIZE", name) from error
+
+
 @contextmanager
 def _unavailable_errors(key: str) -> Iterator[None]:
     """Raise Redis and network errors as StoreUnavailableError."""
     try:
         yield
-    except (RedisError, OSError, TimeoutError) as error:
+    except (RedisError, TransactionContentionError, OSError, TimeoutError) as error:
         raise StoreUnavailableError(str(error), key) from error
--- /dev/null
+++ b/tests/listeners/test_object_placements.py
@@ -0,0 +1,113 @@
+"""Placements in the shared store while another sidecar writes the same object."""
+
+import anyio
+import pytest
+
+from runloft.core.model import Served
+from runloft.lab.keyspace import Keyspace, Session
+from runloft.placement.store import PlacementStore
+from runloft.upstream.response_stream import ResponseStream
+from tests.support.lab import Redis
+from tests.support.listener_harness import ObjectHarness, run_with_listener
+
+OBJECT_KEY = b"runloft:object:tracks:k"
+CONTENT = b"first upload"
+ASSEMBLED = b"1 -1"  # an object from an upload on shard 1, whose size is not known yet
+SIZED = b"1 12"  # the same object, when its size is known
+MOVED = b"3 -1"  # the same object, when another sidecar has completed an upload on shard 3
+STATUSES = {b"GET": 200, b"HEAD": 200, b"DELETE": 204}
+POSITIONS = range(1, 8)  # a request sends at most six commands: the last position is after all of them
+
+
+class CrossingKeyspace(Keyspace):
+    """Executes the command ``crossing`` of another client right after command number ``position``."""
+
+    def __init__(self, placement, crossing=(), position=0):
+        super().__init__(lambda: 0)
+        self.data[OBJECT_KEY] = placement
+        self.requested = []
+        self._crossing = list(crossing)
+        self._position = position
+        self._is_in_transaction = False
+
+    def execute(self, session, words):
+        # Commands of a transaction are executed at once, and those that set up a connection don't count.
+        if self._is_in_transaction or words[0] in (b"CLIENT", b"SELECT"):
+            return super().execute(session, words)
+        self._is_in_transaction = words[0] == b"EXEC"
+        reply = super().execute(session, words)
+        self._is_in_transaction = False
+        self.requested.append(words[0])
+        if len(self.requested) == self._position:
+            super().execute(Session(), self._crossing)
+        return reply
+
+    def finish(self):
+        """Execute the crossing command if the request sent fewer commands than its position."""
+        if len(self.requested) < self._position:
+            super().execute(Session(), self._crossing)
+
+
+def serve(keys, method):
+    """Serve one request of the object by a node of shard 1, with a store that holds ``keys``."""
+    server = Redis(keys)
+
+    async def scenario(harness):
+        sock, client = harness.connect()
+        sock.sendall(b"%s /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n\r\n" % method)
+        await harness.wait_until(harness.received)
+        (exchange,) = harness.received()
+        status = STATUSES[method]
+        stream = ResponseStream(status, [(b"Content-Length", b"%d" % len(CONTENT))] if status == 200 else [])
+        if method == b"GET":
+            stream.put(CONTENT)
+        stream.finish(True)
+        exchange.begin(stream, "s-1", 1)
+        exchange.answer(Served(stream, "s-1", 1))
+        await harness.wait_until(lambda: not client.is_serving)
+        got = await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert got.startswith(b"HTTP/1.1 %d" % status)
+        sock.close()
+        await harness.store.close()
+
+    def make_harness(group):
+        return ObjectHarness(group, PlacementStore(f"redis://{server.address}/0", 5.0))
+
+    try:
+        run_with_listener(make_harness, scenario)
+    finally:
+        server.close()
+    keys.finish()
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_a_read_never_undoes_a_completion_that_crosses_it(method, position):
+    """Prevents a read that records the object's size from moving the object back to its earlier shard."""
+    keys = CrossingKeyspace(ASSEMBLED, [b"SET", OBJECT_KEY, MOVED], position)
+    serve(keys, method)
+    assert keys.data[OBJECT_KEY] == MOVED
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_a_read_never_restores_an_object_whose_deletion_crosses_it(method, position):
+    """Prevents a read that records the object's size from recording a deleted object again."""
+    keys = CrossingKeyspace(ASSEMBLED, [b"DEL", OBJECT_KEY], position)
+    serve(keys, method)
+    assert OBJECT_KEY not in keys.data
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+@pytest.mark.parametrize("found", [ASSEMBLED, b"1 11"])
+def test_a_read_records_a_size_that_is_unknown_or_wrong(method, found):
+    keys = CrossingKeyspace(found)
+    serve(keys, method)
+    assert keys.data[OBJECT_KEY] == SIZED
+
+
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_a_read_of_an_object_with_a_known_size_asks_the_store_once(method):
+    keys = CrossingKeyspace(SIZED)
+    serve(keys, method)
+    assert keys.requested == [b"GET"] and keys.data[OBJECT_KEY] == SIZED
--- a/tests/placement/test_placement_store.py
+++ b/tests/placement/test_placement_store.py
@@ -3,7 +3,7 @@
 import anyio
 import pytest
 
-from runloft.placement.store import Placement, PlacementStore, StoreUnavailableError
+from runloft.placement.store import MAX_CONNECTIONS, Placement, PlacementStore, StoreUnavailableError
 from tests.support.lab import Redis
 
 
@@ -52,6 +52,43 @@
     run(check)
 
 
+def test_compare_and_set_replaces_the_expected_placement_only():
+    async def check(store, server):
+        assert not await store.compare_and_set("k", Placement(1), Placement(1, 10))
+        assert await store.get("k") is None
+        await store.put("k", Placement(2))
+        assert not await store.compare_and_set("k", Placement(1), Placement(1, 10))
+        assert await store.get("k") == Placement(2)
+        assert await store.compare_and_set("k", Placement(2), Placement(2, 10))
+        assert await store.get("k") == Placement(2, 10)
+
+    run(check)
+
+
+def test_a_cancelled_compare_and_set_leaves_the_store_usable():
+    """A client that disconnects cancels it at any of its commands; no reply may be taken for a later one."""
+
+    async def check(store, server):
+        await store.put("k", Placement(1))
+        server.server.failures.delay_s = 0.01
+        for command in range(4 * MAX_CONNECTIONS):
+            with anyio.move_on_after(0.005 + 0.01 * (command % 4)) as scope:
+                await store.compare_and_set("k", Placement(2), Placement(3))
+                await store.compare_and_set("k", Placement(1), Placement(1))
+            assert scope.cancelled_caught
+        server.server.failures.delay_s = 0.0
+        async with anyio.create_task_group() as group:
+            for number in range(2 * MAX_CONNECTIONS):
+                group.start_soon(write_and_read, store, f"k{number}", Placement(number, number))
+
+    async def write_and_read(store, name, placement):
+        await store.put(name, placement)
+        assert await store.compare_and_set(name, placement, Placement(placement.shard, 10_000))
+        assert await store.get(name) == Placement(placement.shard, 10_000)
+
+    run(check)
+
+
 @pytest.mark.parametrize("fault", ["closed", "invalid placement"])
 def test_unreadable_store_is_unavailable(fault):
     async def check(store, server):
--- a/tests/support/lab.py
+++ b/tests/support/lab.py
@@ -35,8 +35,8 @@
 class Redis:
     """The Redis stand-in, running in a separate thread until it is closed."""
 
-    def __init__(self):
-        self.server = RedisStandIn()
+    def __init__(self, keys=None):
+        self.server = RedisStandIn(keys)
         self._context = running(self.server)
         self._context.__enter__()
         self.address = self.server.address
--- a/tests/support/listener_harness.py
+++ b/tests/support/listener_harness.py
@@ -95,10 +95,10 @@
 class ObjectHarness(ListenerHarness):
     """A listener of the object API; the test answers its requests."""
 
-    def __init__(self, group):
+    def __init__(self, group, store=None):
         super().__init__()
         parsed = config_from_json(config("127.0.0.1:1", [], "127.0.0.1:2"))
-        self.store = PlaceStore()
+        self.store = store or PlaceStore()
         self.listener = ObjectListener(
             group,
             self.posted.append,
