Delete an object's placement only if it is unchanged since the lookup

Callers could see: a completed upload, answered 200, is unknown (404) after a deletion whose lookup came before it, though the deletion removed only the older object's content on the other node. Cause: PlacementDirectory.record deleted the object's key without a condition, however old the lookup was. Fix: PlacementStore.compare_and_delete, by the same transaction as compare_and_set. A placement that changed is kept; if it only got its size meanwhile, it stays although the object is gone, and the node answers 404 for it. Left: a write on the same shard with the same size as before, between a deletion's lookup and its comparison, can't be told from the placement that was found.

--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -64,8 +64,7 @@
             case OperationKind.ABORT_UPLOAD:
                 await self.store.delete(self._upload_key(operation))
             case OperationKind.DELETE:
-                await self.store.delete(self._object_key(operation))
-                log.debug("placement deleted", operation=operation.kind, key=self._object_key(operation))
+                await self._delete_object(routed)
             case OperationKind.GET | OperationKind.HEAD if stream.status == 200:
                 await self._record_size(routed, stream)
 
@@ -82,7 +81,20 @@
         if await self.store.compare_and_set(self._object_key(routed.operation), found, placement):
             self._log_recorded(routed.operation, placement)
         else:
-            log.debug("placement changed during a read", key=self._object_key(routed.operation))
+            self._log_kept(routed.operation)
+
+    async def _delete_object(self, routed: RoutedOperation) -> None:
+        """Delete the placement of the object that was deleted.
+
+        A placement that another request has changed since the lookup is kept: its object was written after
+        the deletion began, and without a placement nobody could read it.
+        """
+        operation = routed.operation
+        key = self._object_key(operation)
+        if routed.placement is not None and await self.store.compare_and_delete(key, routed.placement):
+            log.debug("placement deleted", operation=operation.kind, key=key)
+        else:
+            self._log_kept(operation)
 
     async def _put_object(self, operation: Operation, placement: Placement) -> None:
         await self.store.put(self._object_key(operation), placement)
@@ -97,6 +109,13 @@
             size=placement.size,
         )
 
+    def _log_kept(self, operation: Operation) -> None:
+        log.debug(
+            "placement kept, it changed since the lookup",
+            operation=operation.kind,
+            key=self._object_key(operation),
+        )
+
     def _object_key(self, operation: Operation) -> str:
         return self.store.object_key(operation.volume, operation.key)
 
--- a/runloft/placement/store.py
+++ b/runloft/placement/store.py
@@ -3,7 +3,7 @@
 Each placement is one key.  Its value is the shard, a space and the size in bytes, or -1 if it is unknown.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from contextlib import contextmanager
 from dataclasses import dataclass
 from typing import Any
@@ -83,12 +83,20 @@
         A change between the comparison and the write prevents the write, even a change back to ``expected``.
         Raise StoreUnavailableError on failure.
         """
+        return await self._write_if_equal(name, expected, lambda pipe: pipe.set(name, _encode(placement)))
 
+    async def compare_and_delete(self, name: str, expected: Placement) -> bool:
+        """Delete a placement like ``compare_and_set`` stores one; return whether it was deleted."""
+        return await self._write_if_equal(name, expected, lambda pipe: pipe.delete(name))
+
+    async def _write_if_equal(
+        self, name: str, expected: Placement, queue_write: Callable[[Any], object]
+    ) -> bool:
         async def prepare(pipe: Any) -> bool:
             if _decode(name, await pipe.get(name)) != expected:
                 return False
             pipe.multi()
-            pipe.set(name, _encode(placement))
+            queue_write(pipe)
             return True
 
         with _unavailable_errors(name):
--- a/tests/listeners/test_object_placements.py
+++ b/tests/listeners/test_object_placements.py
@@ -4,9 +4,9 @@
 import pytest
 
 from runloft.core.model import Served
-from runloft.lab.keyspace import Keyspace, Session
 from runloft.placement.store import PlacementStore
 from runloft.upstream.response_stream import ResponseStream
+from tests.support.crossing_keyspace import CrossingKeyspace
 from tests.support.lab import Redis
 from tests.support.listener_harness import ObjectHarness, run_with_listener
 
@@ -19,33 +19,11 @@
 POSITIONS = range(1, 8)  # a request sends at most six commands: the last position is after all of them
 
 
-class CrossingKeyspace(Keyspace):
-    """Executes the command ``crossing`` of another client right after command number ``position``."""
-
-    def __init__(self, placement, crossing=(), position=0):
-        super().__init__(lambda: 0)
-        self.data[OBJECT_KEY] = placement
-        self.requested = []
-        self._crossing = list(crossing)
-        self._position = position
-        self._is_in_transaction = False
-
-    def execute(self, session, words):
-        # Commands of a transaction are executed at once, and those that set up a connection don't count.
-        if self._is_in_transaction or words[0] in (b"CLIENT", b"SELECT"):
-            return super().execute(session, words)
-        self._is_in_transaction = words[0] == b"EXEC"
-        reply = super().execute(session, words)
-        self._is_in_transaction = False
-        self.requested.append(words[0])
-        if len(self.requested) == self._position:
-            super().execute(Session(), self._crossing)
-        return reply
-
-    def finish(self):
-        """Execute the crossing command if the request sent fewer commands than its position."""
-        if len(self.requested) < self._position:
-            super().execute(Session(), self._crossing)
+def make_keys(placement, crossing=(), position=0):
+    """Return a store that has this placement of the object, and another sidecar's commands that cross."""
+    keys = CrossingKeyspace(crossing, position)
+    keys.data[OBJECT_KEY] = placement
+    return keys
 
 
 def serve(keys, method):
@@ -84,7 +62,7 @@
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 def test_a_read_never_undoes_a_completion_that_crosses_it(method, position):
     """Prevents a read that records the object's size from moving the object back to its earlier shard."""
-    keys = CrossingKeyspace(ASSEMBLED, [b"SET", OBJECT_KEY, MOVED], position)
+    keys = make_keys(ASSEMBLED, [[b"SET", OBJECT_KEY, MOVED]], position)
     serve(keys, method)
     assert keys.data[OBJECT_KEY] == MOVED
 
@@ -93,7 +71,7 @@
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 def test_a_read_never_restores_an_object_whose_deletion_crosses_it(method, position):
     """Prevents a read that records the object's size from recording a deleted object again."""
-    keys = CrossingKeyspace(ASSEMBLED, [b"DEL", OBJECT_KEY], position)
+    keys = make_keys(ASSEMBLED, [[b"DEL", OBJECT_KEY]], position)
     serve(keys, method)
     assert OBJECT_KEY not in keys.data
 
@@ -101,13 +79,28 @@
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 @pytest.mark.parametrize("found", [ASSEMBLED, b"1 11"])
 def test_a_read_records_a_size_that_is_unknown_or_wrong(method, found):
-    keys = CrossingKeyspace(found)
+    keys = make_keys(found)
     serve(keys, method)
     assert keys.data[OBJECT_KEY] == SIZED
 
 
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 def test_a_read_of_an_object_with_a_known_size_asks_the_store_once(method):
-    keys = CrossingKeyspace(SIZED)
+    keys = make_keys(SIZED)
     serve(keys, method)
     assert keys.requested == [b"GET"] and keys.data[OBJECT_KEY] == SIZED
+
+
+@pytest.mark.parametrize("position", POSITIONS)
+@pytest.mark.parametrize("content", [MOVED, b"1 20"], ids=["on another shard", "on the same shard"])
+def test_a_deletion_keeps_the_placement_of_a_write_that_crosses_it(position, content):
+    """Prevents a deletion from making an object unreachable that was written after the deletion's lookup."""
+    keys = make_keys(SIZED, [[b"SET", OBJECT_KEY, content]], position)
+    serve(keys, b"DELETE")
+    assert keys.data[OBJECT_KEY] == content
+
+
+def test_a_deletion_deletes_the_placement():
+    keys = make_keys(SIZED)
+    serve(keys, b"DELETE")
+    assert OBJECT_KEY not in keys.data
--- a/tests/placement/test_placement_store.py
+++ b/tests/placement/test_placement_store.py
@@ -65,6 +65,18 @@
     run(check)
 
 
+def test_compare_and_delete_deletes_the_expected_placement_only():
+    async def check(store, server):
+        assert not await store.compare_and_delete("k", Placement(1))
+        await store.put("k", Placement(2))
+        assert not await store.compare_and_delete("k", Placement(1))
+        assert await store.get("k") == Placement(2)
+        assert await store.compare_and_delete("k", Placement(2))
+        assert await store.get("k") is None
+
+    run(check)
+
+
 def test_a_cancelled_compare_and_set_leaves_the_store_usable():
     """A client that disconnects cancels it at any of its commands; no reply may be taken for a later one."""
 
