Watch the leases of fenced sidecars until a generation is committed

Callers could see: config status lacks a sidecar, until its next heartbeat, that was heard again while a rollout committed; a second rollout in that time would not ask it. Cause: AgreementStore.commit checked the leases of fenced sidecars in its transaction, but did not watch them, and then removed the sidecars. With a slow store the window is several round trips. Fix: the leases of the sidecars that the commit removes are watched. An exchange of one of them fails the commit's check anyway, so this adds no reason to repeat a commit.

--- a/runloft/agreement/store.py
+++ b/runloft/agreement/store.py
@@ -147,6 +147,7 @@
             self._keys.stage,
             self._keys.sidecars,
             self._keys.epoch,
+            *(self._keys.lease(sidecar) for sidecar in sorted(effect.fenced)),
         )
 
     async def drop_stage(self, effect: DropStage) -> None:
--- a/tests/agreement/test_store.py
+++ b/tests/agreement/test_store.py
@@ -6,6 +6,7 @@
 import anyio
 import pytest
 
+from runloft.agreement.codec import encode_lease
 from runloft.agreement.effects import (
     AddOwnEntries,
     Bootstrap,
@@ -18,6 +19,7 @@
 )
 from runloft.agreement.errors import StoreError
 from runloft.agreement.records import NO_RANK, CommittedGeneration, Stage, Verdict
+from tests.support.crossing_keyspace import CrossingKeyspace
 from tests.support.stores import FIRST_CONTENT, LEASE_NS, SECOND_CONTENT, make_lease, run_against_stores
 
 
@@ -90,6 +92,38 @@
     run_against_stores(check)
 
 
+@pytest.mark.parametrize("position", range(1, 25))
+def test_a_commit_never_removes_a_fenced_sidecar_whose_exchange_crosses_it(position):
+    """Prevents a commit from removing a sidecar that was heard again after the commit's check."""
+    keys = CrossingKeyspace(time.time_ns)
+    lease = encode_lease(make_lease("s1", sent=6, answered=4)).encode()
+    exchange = [[b"SET", b"t:lease:s1", lease], [b"SADD", b"t:names", b"s1"]]
+
+    async def check(server, store, other):
+        await store.open_epoch(OpenEpoch(7, 0))
+        await store.bootstrap(Bootstrap(CommittedGeneration(1, FIRST_CONTENT)))
+        await store.exchange(Exchange(make_lease()))
+        await other.exchange(Exchange(make_lease("s1", sent=5, answered=4)))
+        rank = (0, 1, FIRST_CONTENT.digest)
+        assert await store.put_stage(PutStage(Stage("t.0", 2, SECOND_CONTENT), rank))
+        keys.cross(exchange, position)
+        is_committed = await store.commit(
+            CommitGeneration(
+                CommittedGeneration(2, SECOND_CONTENT, token="t.0", epoch=7),
+                rank,
+                frozenset(("s0", "s1")),
+                LEASE_NS,
+                {"s1": ("i", 4)},
+                {"s1": ("i", 5)},
+            )
+        )
+        assert is_committed or len(keys.requested) >= position
+        keys.finish()
+        assert keys.data[b"t:names"] == {b"s0", b"s1"} and keys.data[b"t:lease:s1"] == lease
+
+    run_against_stores(check, keys)
+
+
 def test_an_epoch_is_opened_once_closed_only_while_current_and_raised_by_a_later_one():
     async def check(server, store, other):
         await store.open_epoch(OpenEpoch(7, 0))
--- a/tests/listeners/test_object_placements.py
+++ b/tests/listeners/test_object_placements.py
@@ -21,7 +21,8 @@
 
 def make_keys(placement, crossing=(), position=0):
     """Return a store that has this placement of the object, and another sidecar's commands that cross."""
-    keys = CrossingKeyspace(crossing, position)
+    keys = CrossingKeyspace()
+    keys.cross(crossing, position)
     keys.data[OBJECT_KEY] = placement
     return keys
 
--- a/tests/support/crossing_keyspace.py
+++ b/tests/support/crossing_keyspace.py
@@ -4,14 +4,18 @@
 
 
 class CrossingKeyspace(Keyspace):
-    """Executes the commands ``crossing`` of another client right after command number ``position``."""
+    """A keyspace that records what is requested, and executes another client's commands in between."""
 
-    def __init__(self, crossing=(), position=0, unix_ns=lambda: 0):
+    def __init__(self, unix_ns=lambda: 0):
         super().__init__(unix_ns)
+        self.cross((), 0)
+        self._is_in_transaction = False
+
+    def cross(self, crossing, position):
+        """Execute the commands ``crossing`` right after command number ``position``, counted from here."""
         self.requested = []
         self._crossing = crossing
         self._position = position
-        self._is_in_transaction = False
 
     def execute(self, session, words):
         # Commands of a transaction are executed at once, and those that set up a connection don't count.
--- a/tests/support/stores.py
+++ b/tests/support/stores.py
@@ -26,9 +26,9 @@
     )
 
 
-def run_against_stores(check):
+def run_against_stores(check, keys=None):
     """Run ``check(server, store, other)`` with the Redis stand-in and two clients of it."""
-    with running(RedisStandIn()) as (server,):
+    with running(RedisStandIn(keys)) as (server,):
 
         async def main():
             clients = [AgreementStore(f"redis://{server.address}/0", "t", LEASE_NS, 0.3) for _ in range(2)]
