--- a/tests/placement/test_placement_store.py
+++ b/tests/placement/test_placement_store.py
@@ -1,17 +1,38 @@
 """The placement store against a stand-in for Redis."""
 
+import threading
+
 import anyio
 import pytest
 
+from runloft.lab.keyspace import Keyspace, Session
 from runloft.placement.store import MAX_CONNECTIONS, Placement, PlacementStore, StoreUnavailableError
 from tests.support.lab import Redis
 
 
-def run(check):
-    server = Redis()
+class HoldingKeyspace(Keyspace):
+    """Holds back the client's first write, as a network does that delivers it late."""
+
+    def __init__(self):
+        super().__init__(lambda: 0)
+        self.may_execute = threading.Event()
+        self.executed = threading.Event()
+
+    def execute(self, session, words):
+        is_held = words[0] in (b"SET", b"MULTI")
+        if is_held:
+            self.may_execute.wait(10)
+        reply = super().execute(session, words)
+        if is_held:
+            self.executed.set()
+        return reply
+
+
+def run(check, keys=None, timeout_s=2.0):
+    server = Redis(keys)
 
     async def main():
-        store = PlacementStore(f"redis://{server.address}/0", 2.0)
+        store = PlacementStore(f"redis://{server.address}/0", timeout_s)
         try:
             with anyio.fail_after(20):
                 await check(store, server)
@@ -101,6 +122,21 @@
     run(check)
 
 
+def test_a_write_that_timed_out_does_not_undo_a_later_one():
+    """Prevents a write that was answered 503 from moving an object that was written after it."""
+    keys = HoldingKeyspace()
+
+    async def check(store, server):
+        with pytest.raises(StoreUnavailableError):
+            await store.put("k", Placement(1, 10))
+        Keyspace.execute(keys, Session(), [b"SET", b"k", b"3 20"])  # another sidecar's write, accepted
+        keys.may_execute.set()
+        assert await anyio.to_thread.run_sync(keys.executed.wait, 10)
+        assert keys.data[b"k"] == b"3 20"
+
+    run(check, keys, timeout_s=0.2)
+
+
 @pytest.mark.parametrize("fault", ["closed", "invalid placement"])
 def test_unreadable_store_is_unavailable(fault):
     async def check(store, server):
