Open both Redis clients by one function

Cause: the placement store and the agreement's store each built the same connection pool; two tests set up the same rollout. Change: new_client in runloft/net/redis_client.py, beside run_transaction; the placement store no longer sends CLIENT SETINFO on new connections either, one round trip less. The tests share stage_without_a_silent_sidecar; assertions are the same.

--- a/runloft/agreement/store.py
+++ b/runloft/agreement/store.py
@@ -11,9 +11,6 @@
 from collections.abc import Awaitable, Callable
 from typing import Any, TypeVar
 
-import redis.asyncio
-from redis.asyncio.retry import Retry
-from redis.backoff import NoBackoff
 from redis.exceptions import RedisError
 
 from runloft.agreement.codec import encode_lease, encode_verdict
@@ -38,7 +35,7 @@
 from runloft.agreement.store_protocol import VERDICT_LIFETIME_LEASES, StoreKeys
 from runloft.agreement.store_reader import SMALL_RECORD_COUNT, StoreReader
 from runloft.agreement.store_transactions import StoreTransactions
-from runloft.net.redis_transaction import TransactionContentionError, run_transaction
+from runloft.net.redis_client import TransactionContentionError, new_client, run_transaction
 
 MAX_CONNECTIONS = 2
 NS_PER_MS = 1_000_000
@@ -51,18 +48,8 @@
     def __init__(self, url: str, prefix: str, lease_ns: int, timeout_s: float) -> None:
         """``prefix`` starts every key; ``timeout_s`` limits each wait for a connection or a reply."""
         self.lease_ms = max(1, lease_ns // NS_PER_MS)
-        pool = redis.asyncio.BlockingConnectionPool.from_url(
-            url,
-            protocol=2,
-            socket_timeout=timeout_s,
-            socket_connect_timeout=timeout_s,
-            max_connections=MAX_CONNECTIONS,
-            driver_info=None,  # no CLIENT SETINFO on new connections, which costs a round trip
-            timeout=timeout_s,
-            # The client doesn't retry: the state machines handle lost replies and schedule the retries.
-            retry=Retry(NoBackoff(), 0),
-        )
-        self._redis: Any = redis.asyncio.Redis.from_pool(pool)
+        # The client doesn't retry: the state machines handle lost replies and schedule the retries.
+        self._redis: Any = new_client(url, MAX_CONNECTIONS, timeout_s)
         self._keys = StoreKeys(prefix)
         self._reader = StoreReader(self._redis, self._keys)
         self._transactions = StoreTransactions(self._keys, self._reader, self.lease_ms)
--- a/runloft/net/redis_transaction.py
+++ b/runloft/net/redis_client.py
@@ -1,8 +1,11 @@
-"""Optimistic transactions of a Redis client: writes that depend on what the store holds."""
+"""Redis clients: their connection pools, and optimistic transactions that depend on what the store holds."""
 
 from collections.abc import Awaitable, Callable
 from typing import Any
 
+import redis.asyncio
+from redis.asyncio.retry import Retry
+from redis.backoff import NoBackoff
 from redis.exceptions import WatchError
 
 from runloft.errors import RunloftError
@@ -14,6 +17,25 @@
     """Other clients changed the watched keys during every attempt of a transaction."""
 
 
+def new_client(url: str, max_connections: int, timeout_s: float) -> redis.asyncio.Redis:
+    """Return a client with its own connection pool, which the caller closes.
+
+    ``timeout_s`` limits each wait for a connection or a reply.  In a burst, operations wait for a free
+    connection instead of failing as if the store were unavailable.
+    """
+    pool = redis.asyncio.BlockingConnectionPool.from_url(
+        url,
+        protocol=2,
+        socket_timeout=timeout_s,
+        socket_connect_timeout=timeout_s,
+        max_connections=max_connections,
+        driver_info=None,  # no CLIENT SETINFO on new connections, which costs a round trip
+        timeout=timeout_s,
+        retry=Retry(NoBackoff(), 0),  # the caller decides whether an operation is retried
+    )
+    return redis.asyncio.Redis.from_pool(pool)
+
+
 async def run_transaction(client: Any, prepare: Callable[[Any], Awaitable[bool]], *watched: str) -> bool:
     """Execute a write that ``prepare`` checks and queues; return whether it was executed.
 
--- a/runloft/placement/store.py
+++ b/runloft/placement/store.py
@@ -8,13 +8,10 @@
 from dataclasses import dataclass
 from typing import Any
 
-import redis.asyncio
-from redis.asyncio.retry import Retry
-from redis.backoff import NoBackoff
 from redis.exceptions import RedisError
 
 from runloft.errors import RunloftError
-from runloft.net.redis_transaction import TransactionContentionError, run_transaction
+from runloft.net.redis_client import TransactionContentionError, new_client, run_transaction
 
 MAX_CONNECTIONS = 16
 UPLOAD_TTL_S = 7 * 24 * 3600  # expires uploads that are neither completed nor aborted
@@ -42,18 +39,8 @@
     """A client of the store with its own connection pool, which ``close`` closes."""
 
     def __init__(self, url: str, timeout_s: float = DEFAULT_TIMEOUT_S) -> None:
-        # In a burst, requests wait for a free connection instead of failing as if the store were unavailable.
-        pool = redis.asyncio.BlockingConnectionPool.from_url(
-            url,
-            protocol=2,
-            socket_timeout=timeout_s,
-            socket_connect_timeout=timeout_s,
-            max_connections=MAX_CONNECTIONS,
-            timeout=timeout_s,
-            # The Redis client does not retry: the S3 client receives 503 and retries.
-            retry=Retry(NoBackoff(), 0),
-        )
-        self._redis = redis.asyncio.Redis.from_pool(pool)
+        # The client does not retry: the S3 client receives 503 and retries.
+        self._redis = new_client(url, MAX_CONNECTIONS, timeout_s)
 
     @staticmethod
     def object_key(volume: str, key: str) -> str:
--- a/tests/agreement/test_store.py
+++ b/tests/agreement/test_store.py
@@ -63,23 +63,27 @@
     run_against_stores(check)
 
 
+async def stage_without_a_silent_sidecar(store, other):
+    """Stage a generation; return its commit, which excludes sidecar s1 and removes it as fenced."""
+    await store.open_epoch(OpenEpoch(7, 0))
+    await store.bootstrap(Bootstrap(CommittedGeneration(1, FIRST_CONTENT)))
+    await store.exchange(Exchange(make_lease()))
+    await other.exchange(Exchange(make_lease("s1", sent=5, answered=4)))
+    rank = (0, 1, FIRST_CONTENT.digest)
+    assert await store.put_stage(PutStage(Stage("t.0", 2, SECOND_CONTENT), rank))
+    return CommitGeneration(
+        CommittedGeneration(2, SECOND_CONTENT, token="t.0", epoch=7),
+        rank,
+        frozenset(("s0", "s1")),
+        LEASE_NS,
+        excluded={"s1": ("i", 4)},
+        fenced={"s1": ("i", 5)},
+    )
+
+
 def test_a_commit_fails_if_an_excluded_sidecar_is_active_and_removes_fenced_ones():
     async def check(server, store, other):
-        await store.open_epoch(OpenEpoch(7, 0))
-        await store.bootstrap(Bootstrap(CommittedGeneration(1, FIRST_CONTENT)))
-        await store.exchange(Exchange(make_lease()))
-        await other.exchange(Exchange(make_lease("s1", sent=5, answered=4)))
-        rank = (0, 1, FIRST_CONTENT.digest)
-        assert await store.put_stage(PutStage(Stage("t.0", 2, SECOND_CONTENT), rank))
-        names = frozenset(("s0", "s1"))
-        effect = CommitGeneration(
-            CommittedGeneration(2, SECOND_CONTENT, token="t.0", epoch=7),
-            rank,
-            names,
-            LEASE_NS,
-            {"s1": ("i", 4)},
-            {"s1": ("i", 5)},
-        )
+        effect = await stage_without_a_silent_sidecar(store, other)
         await other.exchange(Exchange(make_lease("s1", sent=6, answered=5)))  # it receives answers again
         assert not await store.commit(replace(effect, fenced={}))
         assert not await store.commit(replace(effect, excluded={}))
@@ -100,23 +104,9 @@
     exchange = [[b"SET", b"t:lease:s1", lease], [b"SADD", b"t:names", b"s1"]]
 
     async def check(server, store, other):
-        await store.open_epoch(OpenEpoch(7, 0))
-        await store.bootstrap(Bootstrap(CommittedGeneration(1, FIRST_CONTENT)))
-        await store.exchange(Exchange(make_lease()))
-        await other.exchange(Exchange(make_lease("s1", sent=5, answered=4)))
-        rank = (0, 1, FIRST_CONTENT.digest)
-        assert await store.put_stage(PutStage(Stage("t.0", 2, SECOND_CONTENT), rank))
+        effect = await stage_without_a_silent_sidecar(store, other)
         keys.cross(exchange, position)
-        is_committed = await store.commit(
-            CommitGeneration(
-                CommittedGeneration(2, SECOND_CONTENT, token="t.0", epoch=7),
-                rank,
-                frozenset(("s0", "s1")),
-                LEASE_NS,
-                {"s1": ("i", 4)},
-                {"s1": ("i", 5)},
-            )
-        )
+        is_committed = await store.commit(effect)
         assert is_committed or len(keys.requested) >= position
         keys.finish()
         assert keys.data[b"t:names"] == {b"s0", b"s1"} and keys.data[b"t:lease:s1"] == lease
