Give the object server's stand-in a module, and split long functions

Change: tests/support/object_server.py with a typed response; options by what they set; the commit's report is a function. Two tests replaced handle by one that returns a plain tuple; they return the typed response now, with the same status and assertions (one of them failed before that, the other passed by the stand-in's crash).

--- a/runloft/agreement/rollout.py
+++ b/runloft/agreement/rollout.py
@@ -268,10 +268,6 @@
         )
         self._enter(RolloutPhase.COMMITTING, now)
         self.excluded |= ballot.excluded.keys()
-        accepted_count = len(view.sidecars) - len(ballot.excluded)
-        text = f"accepted by {accepted_count} sidecars: committing generation {self.target.generation}"
-        if ballot.excluded:
-            text += f"; silent and excluded: {', '.join(sorted(ballot.excluded))}"
         return [
             CommitGeneration(
                 self.target,
@@ -281,7 +277,7 @@
                 ballot.excluded,
                 ballot.fenced,
             ),
-            ReportProgress(text),
+            _commit_progress(self.target.generation, view, ballot),
         ]
 
     # Phase COMMITTING
@@ -327,3 +323,12 @@
         else:
             self._enter(RolloutPhase.PLANNING, now)
         return [ReportProgress(f"generation {generation} is committed and in effect")]
+
+
+def _commit_progress(generation: int, view: StoreView, ballot: Ballot) -> ReportProgress:
+    """Return the report that a generation is being committed, and without which sidecars."""
+    accepted_count = len(view.sidecars) - len(ballot.excluded)
+    text = f"accepted by {accepted_count} sidecars: committing generation {generation}"
+    if ballot.excluded:
+        text += f"; silent and excluded: {', '.join(sorted(ballot.excluded))}"
+    return ReportProgress(text)
--- a/runloft/lab/scale/options.py
+++ b/runloft/lab/scale/options.py
@@ -35,6 +35,13 @@
             "--base; events are played at --base. The result is tables and a JSON document."
         ),
     )
+    _add_size_options(scale)
+    _add_run_options(scale)
+    _add_output_options(scale)
+
+
+def _add_size_options(scale: argparse.ArgumentParser) -> None:
+    """Add what is measured: sizes of dimensions, and events."""
     scale.add_argument(
         "--vary",
         action="append",
@@ -54,6 +61,10 @@
         metavar="NAME,...",
         help=f"events to play: all, or any of {', '.join(EVENT_NAMES)}",
     )
+
+
+def _add_run_options(scale: argparse.ArgumentParser) -> None:
+    """Add how it is measured: durations, repeats, seed and processes."""
     scale.add_argument(
         "--seconds", type=float, default=10.0, help="duration of each measurement (default 10)"
     )
@@ -67,6 +78,10 @@
     scale.add_argument(
         "--deadline-s", type=float, default=1800.0, help="time limit of the whole run (default 1800)"
     )
+
+
+def _add_output_options(scale: argparse.ArgumentParser) -> None:
+    """Add the files that are written."""
     scale.add_argument("--output", metavar="FILE", help="write the result as JSON, even if it is partial")
     scale.add_argument(
         "--append", action="store_true", help="add this run's results as repeats to those in --output"
--- a/tests/listeners/test_object_api.py
+++ b/tests/listeners/test_object_api.py
@@ -12,8 +12,9 @@
 import pytest
 
 from tests.support.lab import Redis
+from tests.support.object_server import ObjectResponse, ObjectServer
 from tests.support.object_world import ITEM, World
-from tests.support.standins import Discovery, ObjectServer, Program, RespNode, config, entry, settings, until
+from tests.support.standins import Discovery, Program, RespNode, config, entry, settings, until
 
 
 @pytest.fixture
@@ -114,13 +115,13 @@
     status, _, _ = world.request("GET", headers={"X-Expires-In-Ms": "400"})
     assert status == 504 and time.monotonic() - began < 3
     server.may_respond.set()
-    server.handle = lambda *_: (500, {}, b"")
+    server.handle = lambda *_: ObjectResponse(500, {}, b"")
     assert world.request("GET")[0] == 502
 
 
 def test_a_full_node_is_503_with_retry_after(world):
     world.request("PUT", body=b"x")
-    world.holder().handle = lambda *_: (503, {}, b"")
+    world.holder().handle = lambda *_: ObjectResponse(503, {}, b"")
     status, headers, _ = world.request("GET", headers={"X-Expires-In-Ms": "900"})
     assert status == 503 and int(headers["Retry-After"]) >= 1
 
--- a/tests/support/object_world.py
+++ b/tests/support/object_world.py
@@ -3,7 +3,8 @@
 import http.client
 
 from tests.support.lab import Redis
-from tests.support.standins import Discovery, ObjectServer, Program, config, entry
+from tests.support.object_server import ObjectServer
+from tests.support.standins import Discovery, Program, config, entry
 
 ITEM = "/volumes/tracks/objects/2026/run.csv"
 
