Tell placements of one shard and size apart, and apply changes by one update

A completion on the same shard ('SHARD -1' again) or a write of the same size could not be told from what was found: a deletion then deleted the record of a write that was accepted after a client had seen the object deleted, and a read recorded an older object's size. Change: a completion records a unique negative size; the lookup of a deletion gives the placement one before the node acts. What a change depends on is a pure function (placement/changes.py), applied by PlacementStore.update in one transaction; it replaces compare_and_set and compare_and_delete. Placement and its text are in placement/records.py. The deletion's test now counts a write before the end of the lookup as one that the deletion follows, since the lookup is a transaction; it has two more contents and two kinds of placement.

--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -1,12 +1,15 @@
 """Placements of objects and uploads: looked up in the shared store, and recorded after a node has acted."""
 
 from dataclasses import dataclass
+from functools import partial
 
 import structlog
 
 from runloft.listeners.objects.errors import NothingToDeleteError, ObjectApiError
 from runloft.listeners.objects.operations import Operation, OperationKind
-from runloft.placement.store import Placement, PlacementStore
+from runloft.placement import changes
+from runloft.placement.records import Placement
+from runloft.placement.store import PlacementStore
 from runloft.upstream.response_stream import ResponseStream
 
 log = structlog.get_logger()
@@ -41,10 +44,16 @@
             if placement is None:
                 raise ObjectApiError(404, "NoSuchUpload", "there is no such upload")
             return placement
+        if operation.kind is OperationKind.DELETE:
+            return await self._find_for_deletion(operation)
         placement = await self.store.get(self._object_key(operation))
         if placement is None and operation.kind in (OperationKind.GET, OperationKind.HEAD):
             raise ObjectApiError(404, "NoSuchKey", "there is no such object")
-        if placement is None and operation.kind is OperationKind.DELETE:
+        return placement
+
+    async def _find_for_deletion(self, operation: Operation) -> Placement:
+        placement = await self.store.update(self._object_key(operation), changes.mark_for_deletion)
+        if placement is None:
             raise NothingToDeleteError
         return placement
 
@@ -55,65 +64,54 @@
         operation = routed.operation
         match operation.kind:
             case OperationKind.PUT:
-                await self._put_object(operation, Placement(shard, routed.body_size))
+                await self._record_write(operation, Placement(shard, routed.body_size))
             case OperationKind.CREATE_UPLOAD:
                 await self.store.put(self._upload_key(operation), Placement(shard), upload=True)
             case OperationKind.COMPLETE_UPLOAD:
-                await self._put_object(operation, Placement(shard))
+                await self._record_write(operation, Placement.with_unique_size(shard))
                 await self.store.delete(self._upload_key(operation))
             case OperationKind.ABORT_UPLOAD:
                 await self.store.delete(self._upload_key(operation))
             case OperationKind.DELETE:
-                await self._delete_object(routed)
+                await self._record_deletion(routed)
             case OperationKind.GET | OperationKind.HEAD if stream.status == 200:
                 await self._record_size(routed, stream)
 
-    async def _record_size(self, routed: RoutedOperation, stream: ResponseStream) -> None:
-        """Record the size of the object that was read if it differs; it sets later requests' units.
+    async def _record_write(self, operation: Operation, placement: Placement) -> None:
+        await self.store.put(self._object_key(operation), placement)
+        self._log_stored(operation, placement, placement)
 
-        A placement that another request has changed since the lookup is kept: it may name another shard.
-        """
+    async def _record_deletion(self, routed: RoutedOperation) -> None:
+        change = partial(changes.after_deletion, found=routed.placement)
+        await self._update(routed.operation, change, None)
+
+    async def _record_size(self, routed: RoutedOperation, stream: ResponseStream) -> None:
+        """Record the size of the object that was read, if it differs; it sets later requests' units."""
         found = routed.placement
         length = next((value for name, value in stream.headers if name.lower() == b"content-length"), b"")
         if found is None or not length.isdigit() or found.size == int(length):
             return
-        placement = Placement(found.shard, int(length))
-        if await self.store.compare_and_set(self._object_key(routed.operation), found, placement):
-            self._log_recorded(routed.operation, placement)
-        else:
-            self._log_kept(routed.operation)
-
-    async def _delete_object(self, routed: RoutedOperation) -> None:
-        """Delete the placement of the object that was deleted.
-
-        A placement that another request has changed since the lookup is kept: its object was written after
-        the deletion began, and without a placement nobody could read it.
-        """
-        operation = routed.operation
-        key = self._object_key(operation)
-        if routed.placement is not None and await self.store.compare_and_delete(key, routed.placement):
-            log.debug("placement deleted", operation=operation.kind, key=key)
+        size = int(length)
+        change = partial(changes.after_read, found=found, size=size)
+        await self._update(routed.operation, change, Placement(found.shard, size))
+
+    async def _update(
+        self, operation: Operation, change: changes.PlacementChange, wanted: Placement | None
+    ) -> None:
+        stored = await self.store.update(self._object_key(operation), change)
+        self._log_stored(operation, stored, wanted)
+
+    def _log_stored(self, operation: Operation, stored: Placement | None, wanted: Placement | None) -> None:
+        if stored != wanted:
+            event = "placement kept, it changed since the lookup"
         else:
-            self._log_kept(operation)
-
-    async def _put_object(self, operation: Operation, placement: Placement) -> None:
-        await self.store.put(self._object_key(operation), placement)
-        self._log_recorded(operation, placement)
-
-    def _log_recorded(self, operation: Operation, placement: Placement) -> None:
-        log.debug(
-            "placement recorded",
-            operation=operation.kind,
-            key=self._object_key(operation),
-            shard=placement.shard,
-            size=placement.size,
-        )
-
-    def _log_kept(self, operation: Operation) -> None:
+            event = "placement recorded" if stored else "placement deleted"
         log.debug(
-            "placement kept, it changed since the lookup",
+            event,
             operation=operation.kind,
             key=self._object_key(operation),
+            shard=stored.shard if stored else None,
+            size=stored.size if stored else None,
         )
 
     def _object_key(self, operation: Operation) -> str:
--- a/runloft/listeners/objects/translation.py
+++ b/runloft/listeners/objects/translation.py
@@ -9,7 +9,7 @@
 from runloft.core.model import RequestSpec
 from runloft.listeners.objects.errors import ObjectApiError
 from runloft.listeners.objects.operations import Operation, OperationKind
-from runloft.placement.store import Placement
+from runloft.placement.records import Placement
 from runloft.upstream.payloads import HttpPayload
 
 Headers = dict[bytes, bytes]
--- a/runloft/placement/store.py
+++ b/runloft/placement/store.py
@@ -1,22 +1,23 @@
 """The placement store, which maps objects and uploads to shards in a Redis shared by all sidecars.
 
-Each placement is one key.  Its value is the shard, a space and the size in bytes, or -1 if it is unknown.
+Each placement is one key (``records``).  What depends on a placement that was read before is written by
+``update``, so that it can't undo what another sidecar has written since.
 """
 
-from collections.abc import Callable, Iterator
+from collections.abc import Iterator
 from contextlib import contextmanager
-from dataclasses import dataclass
 from typing import Any
 
 from redis.exceptions import RedisError
 
 from runloft.errors import RunloftError
 from runloft.net.redis_client import TransactionContentionError, new_client, run_transaction
+from runloft.placement.changes import PlacementChange
+from runloft.placement.records import Placement, decode_placement, encode_placement
 
 MAX_CONNECTIONS = 16
 UPLOAD_TTL_S = 7 * 24 * 3600  # expires uploads that are neither completed nor aborted
 DEFAULT_TIMEOUT_S = 1.0
-UNKNOWN_SIZE = -1
 
 
 class StoreUnavailableError(RunloftError):
@@ -27,14 +28,6 @@
         self.key = key
 
 
-@dataclass(frozen=True, slots=True)
-class Placement:
-    """The shard of an object or an upload, and an object's size in bytes if it is known."""
-
-    shard: int
-    size: int = UNKNOWN_SIZE
-
-
 class PlacementStore:
     """A client of the store with its own connection pool, which ``close`` closes."""
 
@@ -62,32 +55,32 @@
         """Store a placement, with an expiry for an upload; raise StoreUnavailableError on failure."""
         with _unavailable_errors(name):
             ttl_s = UPLOAD_TTL_S if upload else None
-            await self._redis.set(name, _encode(placement), ex=ttl_s)
+            await self._redis.set(name, encode_placement(placement), ex=ttl_s)
 
-    async def compare_and_set(self, name: str, expected: Placement, placement: Placement) -> bool:
-        """Store an object's placement if the key still has ``expected``; return whether it was stored.
+    async def update(self, name: str, change: PlacementChange) -> Placement | None:
+        """Apply a change to a key's placement, in one transaction; return the placement that it has then.
 
-        A change between the comparison and the write prevents the write, even a change back to ``expected``.
-        Raise StoreUnavailableError on failure.
+        Any other write to the key between the reading and the writing prevents this one, and ``change`` is
+        called again.  Raise StoreUnavailableError on failure.
         """
-        return await self._write_if_equal(name, expected, lambda pipe: pipe.set(name, _encode(placement)))
+        result: Placement | None = None
 
-    async def compare_and_delete(self, name: str, expected: Placement) -> bool:
-        """Delete a placement like ``compare_and_set`` stores one; return whether it was deleted."""
-        return await self._write_if_equal(name, expected, lambda pipe: pipe.delete(name))
-
-    async def _write_if_equal(
-        self, name: str, expected: Placement, queue_write: Callable[[Any], object]
-    ) -> bool:
         async def prepare(pipe: Any) -> bool:
-            if _decode(name, await pipe.get(name)) != expected:
+            nonlocal result
+            current = _decode(name, await pipe.get(name))
+            result = change(current)
+            if result == current:
                 return False
             pipe.multi()
-            queue_write(pipe)
+            if result is None:
+                pipe.delete(name)
+            else:
+                pipe.set(name, encode_placement(result))
             return True
 
         with _unavailable_errors(name):
-            return await run_transaction(self._redis, prepare, name)
+            await run_transaction(self._redis, prepare, name)
+        return result
 
     async def delete(self, name: str) -> None:
         """Delete a placement; raise StoreUnavailableError on failure."""
@@ -99,10 +92,6 @@
         await self._redis.aclose()
 
 
-def _encode(placement: Placement) -> str:
-    return f"{placement.shard} {placement.size}"
-
-
 def _decode(name: str, value: bytes | str | None) -> Placement | None:
     """Return the placement of a stored value, None for a missing one.
 
@@ -111,9 +100,7 @@
     if value is None:
         return None
     try:
-        text = value.decode() if isinstance(value, bytes) else value
-        shard, _, size = text.partition(" ")
-        return Placement(int(shard), int(size or UNKNOWN_SIZE))
+        return decode_placement(value)
     except ValueError as error:
         raise StoreUnavailableError(f"invalid placement at key {name}, expected SHARD SIZE", name) from error
 
--- a/tests/listeners/test_object_placements.py
+++ b/tests/listeners/test_object_placements.py
@@ -92,16 +92,23 @@
     assert keys.requested == [b"GET"] and keys.data[OBJECT_KEY] == SIZED
 
 
-@pytest.mark.parametrize("position", POSITIONS)
-@pytest.mark.parametrize("content", [MOVED, b"1 20"], ids=["on another shard", "on the same shard"])
-def test_a_deletion_keeps_the_placement_of_a_write_that_crosses_it(position, content):
+@pytest.mark.parametrize("found", [ASSEMBLED, SIZED])
+@pytest.mark.parametrize("position", range(1, 13))
+@pytest.mark.parametrize(
+    "content",
+    [MOVED, b"1 20", SIZED, b"1 -1"],
+    ids=["on another shard", "on the same shard", "of the same size", "of unknown size"],
+)
+def test_a_deletion_keeps_the_placement_of_a_write_that_crosses_it(found, position, content):
     """Prevents a deletion from making an object unreachable that was written after the deletion's lookup."""
-    keys = make_keys(SIZED, [[b"SET", OBJECT_KEY, content]], position)
+    keys = make_keys(found, [[b"SET", OBJECT_KEY, content]], position)
     serve(keys, b"DELETE")
-    assert keys.data[OBJECT_KEY] == content
+    is_before_lookup = position < keys.requested.index(b"EXEC") + 1
+    assert keys.data.get(OBJECT_KEY) == (None if is_before_lookup else content)
 
 
-def test_a_deletion_deletes_the_placement():
-    keys = make_keys(SIZED)
+@pytest.mark.parametrize("found", [ASSEMBLED, SIZED])
+def test_a_deletion_deletes_the_placement(found):
+    keys = make_keys(found)
     serve(keys, b"DELETE")
     assert OBJECT_KEY not in keys.data
--- a/tests/placement/test_placement_store.py
+++ b/tests/placement/test_placement_store.py
@@ -6,7 +6,9 @@
 import pytest
 
 from runloft.lab.keyspace import Keyspace, Session
-from runloft.placement.store import MAX_CONNECTIONS, Placement, PlacementStore, StoreUnavailableError
+from runloft.placement.records import Placement
+from runloft.placement.store import MAX_CONNECTIONS, PlacementStore, StoreUnavailableError
+from tests.support.crossing_keyspace import CrossingKeyspace
 from tests.support.lab import Redis
 
 
@@ -73,32 +75,45 @@
     run(check)
 
 
-def test_compare_and_set_replaces_the_expected_placement_only():
+@pytest.mark.parametrize("current", [None, Placement(1), Placement(2, 10)])
+@pytest.mark.parametrize("result", [None, Placement(1), Placement(2, 10)])
+def test_an_update_stores_what_the_change_returns_and_writes_only_a_change(current, result):
     async def check(store, server):
-        assert not await store.compare_and_set("k", Placement(1), Placement(1, 10))
-        assert await store.get("k") is None
-        await store.put("k", Placement(2))
-        assert not await store.compare_and_set("k", Placement(1), Placement(1, 10))
-        assert await store.get("k") == Placement(2)
-        assert await store.compare_and_set("k", Placement(2), Placement(2, 10))
-        assert await store.get("k") == Placement(2, 10)
+        if current is not None:
+            await store.put("k", current)
+        versions = dict(server.server.keys.versions)
+        seen = []
+
+        def change(placement):
+            seen.append(placement)
+            return result
+
+        assert await store.update("k", change) == result
+        assert await store.get("k") == result and seen == [current]
+        assert (server.server.keys.versions == versions) is (current == result)
 
     run(check)
 
 
-def test_compare_and_delete_deletes_the_expected_placement_only():
+def test_an_update_is_repeated_if_the_placement_changes_before_it_is_written():
+    keys = CrossingKeyspace()
+
     async def check(store, server):
-        assert not await store.compare_and_delete("k", Placement(1))
-        await store.put("k", Placement(2))
-        assert not await store.compare_and_delete("k", Placement(1))
-        assert await store.get("k") == Placement(2)
-        assert await store.compare_and_delete("k", Placement(2))
-        assert await store.get("k") is None
+        await store.put("k", Placement(1))
+        keys.cross([[b"SET", b"k", b"3 -1"]], 2)  # after the placement was read
+        seen = []
 
-    run(check)
+        def change(placement):
+            seen.append(placement)
+            return Placement(placement.shard, 10)
+
+        assert await store.update("k", change) == Placement(3, 10) == await store.get("k")
+        assert seen == [Placement(1), Placement(3)]
+
+    run(check, keys)
 
 
-def test_a_cancelled_compare_and_set_leaves_the_store_usable():
+def test_a_cancelled_update_leaves_the_store_usable():
     """A client that disconnects cancels it at any of its commands; no reply may be taken for a later one."""
 
     async def check(store, server):
@@ -106,8 +121,8 @@
         server.server.failures.delay_s = 0.01
         for command in range(4 * MAX_CONNECTIONS):
             with anyio.move_on_after(0.005 + 0.01 * (command % 4)) as scope:
-                await store.compare_and_set("k", Placement(2), Placement(3))
-                await store.compare_and_set("k", Placement(1), Placement(1))
+                await store.update("k", lambda placement: placement)
+                await store.update("k", lambda placement: Placement(placement.shard, placement.size + 1))
             assert scope.cancelled_caught
         server.server.failures.delay_s = 0.0
         async with anyio.create_task_group() as group:
@@ -116,7 +131,9 @@
 
     async def write_and_read(store, name, placement):
         await store.put(name, placement)
-        assert await store.compare_and_set(name, placement, Placement(placement.shard, 10_000))
+        assert await store.update(name, lambda found: Placement(found.shard, 10_000)) == Placement(
+            placement.shard, 10_000
+        )
         assert await store.get(name) == Placement(placement.shard, 10_000)
 
     run(check)
--- a/tests/placement/test_stored_placements.py
+++ b/tests/placement/test_stored_placements.py
@@ -3,7 +3,8 @@
 import anyio
 import pytest
 
-from runloft.placement.store import Placement, PlacementStore
+from runloft.placement.records import Placement
+from runloft.placement.store import PlacementStore
 from tests.support.lab import Redis
 
 # Key, stored text, placement and whether it is an upload's, as 9c33a60 wrote them.
--- a/tests/support/listener_harness.py
+++ b/tests/support/listener_harness.py
@@ -10,7 +10,7 @@
 from runloft.core.timers import TimerQueue
 from runloft.listeners.objects import ObjectListener
 from runloft.listeners.resp import RespListener
-from runloft.placement.store import Placement
+from runloft.placement.records import Placement
 from runloft.upstream.response_stream import ResponseStream
 from tests.support.commands import read_command
 from tests.support.driver import MS, SECOND
