Answer a read although the store fails to record the object's size

Callers saw: 503 for a GET or HEAD that the node had answered with 200, if the store failed between the lookup and the record of the object's size. Cause: the record of a size, which only sets later requests' units, raised into the forwarding of the response. Fix: the failure is logged as a warning; the next read records the size.

--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -9,7 +9,7 @@
 from runloft.listeners.objects.operations import Operation, OperationKind
 from runloft.placement import changes
 from runloft.placement.records import Placement
-from runloft.placement.store import PlacementStore
+from runloft.placement.store import PlacementStore, StoreUnavailableError
 from runloft.upstream.response_stream import ResponseStream
 
 log = structlog.get_logger()
@@ -27,7 +27,7 @@
 class PlacementDirectory:
     """Finds and records the placements of operations' objects, in a store that the caller owns.
 
-    Methods raise StoreUnavailableError if the store fails.
+    Methods raise StoreUnavailableError if the store fails, unless they say otherwise.
     """
 
     def __init__(self, store: PlacementStore) -> None:
@@ -86,14 +86,20 @@
         await self._update(routed.operation, change, None)
 
     async def _record_size(self, routed: RoutedOperation, stream: ResponseStream) -> None:
-        """Record the size of the object that was read, if it differs; it sets later requests' units."""
+        """Record the size of the object that was read, if it differs; it sets later requests' units.
+
+        A failure of the store doesn't fail the read, which the node has answered; the next read tries again.
+        """
         found = routed.placement
         length = next((value for name, value in stream.headers if name.lower() == b"content-length"), b"")
         if found is None or not length.isdigit() or found.size == int(length):
             return
         size = int(length)
         change = partial(changes.after_read, found=found, size=size)
-        await self._update(routed.operation, change, Placement(found.shard, size))
+        try:
+            await self._update(routed.operation, change, Placement(found.shard, size))
+        except StoreUnavailableError as error:
+            log.warning("recording an object's size failed", error=str(error))
 
     async def _update(
         self, operation: Operation, change: changes.PlacementChange, wanted: Placement | None
--- a/tests/listeners/test_object_placements.py
+++ b/tests/listeners/test_object_placements.py
@@ -27,8 +27,11 @@
     return keys
 
 
-def serve(keys, method):
-    """Serve one request of the object by a node of shard 1, with a store that holds ``keys``."""
+def serve(keys, method, is_store_lost=False):
+    """Serve one request of the object by a node of shard 1, with a store that holds ``keys``.
+
+    ``is_store_lost``: the store closes its connections before the node answers.
+    """
     server = Redis(keys)
 
     async def scenario(harness):
@@ -36,6 +39,8 @@
         sock.sendall(b"%s /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n\r\n" % method)
         await harness.wait_until(harness.received)
         (exchange,) = harness.received()
+        if is_store_lost:
+            server.close()
         status = STATUSES[method]
         stream = ResponseStream(status, [(b"Content-Length", b"%d" % len(CONTENT))] if status == 200 else [])
         if method == b"GET":
@@ -85,6 +90,14 @@
     assert keys.data[OBJECT_KEY] == SIZED
 
 
+@pytest.mark.parametrize("method", [b"GET", b"HEAD"])
+def test_a_read_is_answered_if_its_size_cannot_be_recorded(method):
+    """Prevents a store that fails behind the lookup from refusing what the node has answered."""
+    keys = make_keys(ASSEMBLED)
+    serve(keys, method, is_store_lost=True)
+    assert keys.data[OBJECT_KEY] == ASSEMBLED
+
+
 @pytest.mark.parametrize("method", [b"GET", b"HEAD"])
 def test_a_read_of_an_object_with_a_known_size_asks_the_store_once(method):
     keys = make_keys(SIZED)
