Derive the outcome of a placement's change, and share the harness's response

Cause: each caller of PlacementDirectory._update named the placement that it wanted, which the change itself gives for the one that was found; a write passed its placement to the log twice. The placements' tests wrote the harness's response again. Change: _update applies the change to the routed placement to see whether it took effect; ObjectHarness.respond_with serves both. Behaviour and assertions are the same; the log's events and fields too.

--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -79,11 +79,10 @@
 
     async def _record_write(self, operation: Operation, placement: Placement) -> None:
         await self.store.put(self._object_key(operation), placement)
-        self._log_stored(operation, placement, placement)
+        self._log("placement recorded", operation, placement)
 
     async def _record_deletion(self, routed: RoutedOperation) -> None:
-        change = partial(changes.after_deletion, found=routed.placement)
-        await self._update(routed.operation, change, None)
+        await self._update(routed, partial(changes.after_deletion, found=routed.placement))
 
     async def _record_size(self, routed: RoutedOperation, stream: ResponseStream) -> None:
         """Record the size of the object that was read, if it differs; it sets later requests' units.
@@ -92,32 +91,32 @@
         """
         found = routed.placement
         length = next((value for name, value in stream.headers if name.lower() == b"content-length"), b"")
-        if found is None or not length.isdigit() or found.size == int(length):
+        if found is None or not length.isdigit():
             return
         size = int(length)
-        change = partial(changes.after_read, found=found, size=size)
+        if found.size == size:
+            return
         try:
-            await self._update(routed.operation, change, Placement(found.shard, size))
+            await self._update(routed, partial(changes.after_read, found=found, size=size))
         except StoreUnavailableError as error:
             log.warning("recording an object's size failed", error=str(error))
 
-    async def _update(
-        self, operation: Operation, change: changes.PlacementChange, wanted: Placement | None
-    ) -> None:
-        stored = await self.store.update(self._object_key(operation), change)
-        self._log_stored(operation, stored, wanted)
-
-    def _log_stored(self, operation: Operation, stored: Placement | None, wanted: Placement | None) -> None:
-        if stored != wanted:
+    async def _update(self, routed: RoutedOperation, change: changes.PlacementChange) -> None:
+        """Apply a change that concerns the placement by which the operation was routed."""
+        stored = await self.store.update(self._object_key(routed.operation), change)
+        if stored != change(routed.placement):
             event = "placement kept, it changed since the lookup"
         else:
             event = "placement recorded" if stored else "placement deleted"
+        self._log(event, routed.operation, stored)
+
+    def _log(self, event: str, operation: Operation, placement: Placement | None) -> None:
         log.debug(
             event,
             operation=operation.kind,
             key=self._object_key(operation),
-            shard=stored.shard if stored else None,
-            size=stored.size if stored else None,
+            shard=placement.shard if placement else None,
+            size=placement.size if placement else None,
         )
 
     def _object_key(self, operation: Operation) -> str:
--- a/tests/listeners/test_object_placements.py
+++ b/tests/listeners/test_object_placements.py
@@ -3,7 +3,6 @@
 import anyio
 import pytest
 
-from runloft.core.model import Served
 from runloft.placement.store import PlacementStore
 from runloft.upstream.response_stream import ResponseStream
 from tests.support.crossing_keyspace import CrossingKeyspace
@@ -16,7 +15,8 @@
 SIZED = b"1 12"  # the same object, when its size is known
 MOVED = b"3 -1"  # the same object, when another sidecar has completed an upload on shard 3
 STATUSES = {b"GET": 200, b"HEAD": 200, b"DELETE": 204}
-POSITIONS = range(1, 8)  # a request sends at most six commands: the last position is after all of them
+POSITIONS = range(1, 8)  # a read sends at most six commands: the last position is after all of them
+DELETION_POSITIONS = range(1, 13)  # a deletion sends ten
 
 
 def make_keys(placement, crossing=(), position=0):
@@ -45,10 +45,7 @@
         stream = ResponseStream(status, [(b"Content-Length", b"%d" % len(CONTENT))] if status == 200 else [])
         if method == b"GET":
             stream.put(CONTENT)
-        stream.finish(True)
-        exchange.begin(stream, "s-1", 1)
-        exchange.answer(Served(stream, "s-1", 1))
-        await harness.wait_until(lambda: not client.is_serving)
+        await harness.respond_with(client, exchange, stream, shard=1)
         got = await anyio.to_thread.run_sync(sock.recv, 4096)
         assert got.startswith(b"HTTP/1.1 %d" % status)
         sock.close()
@@ -106,7 +103,7 @@
 
 
 @pytest.mark.parametrize("found", [ASSEMBLED, SIZED])
-@pytest.mark.parametrize("position", range(1, 13))
+@pytest.mark.parametrize("position", DELETION_POSITIONS)
 @pytest.mark.parametrize(
     "content",
     [MOVED, b"1 20", SIZED, b"1 -1"],
--- a/tests/support/listener_harness.py
+++ b/tests/support/listener_harness.py
@@ -125,9 +125,13 @@
         """Answer with an object; most of it then waits in the socket's send buffer."""
         stream = ResponseStream(200, [(b"Content-Length", b"%d" % OBJECT_SIZE)])
         stream.put(b"a" * OBJECT_SIZE)
+        await self.respond_with(client, exchange, stream)
+
+    async def respond_with(self, client, exchange, stream, shard=0):
+        """Answer with a response whose body is complete."""
         stream.finish(True)
-        exchange.begin(stream, "s-1", 0)
-        exchange.answer(Served(stream, "s-1", 0))
+        exchange.begin(stream, "s-1", shard)
+        exchange.answer(Served(stream, "s-1", shard))
         await self.wait_until(lambda: not client.is_serving)
 
 
