Show that a completion that breaks off also loses the object written before

Cause: the object's record is moved to the upload's node when the head of the answer has come, as in review/7.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -63,7 +63,7 @@
     """Run the case; return what was broken."""
     store = await kit2_objects.start_store()
     server = kit2_objects.ObjectServer(world.record, read_without_length)
-    await world.start_sidecar(store.address, await kit2.listen(server.serve))
+    await world.start_sidecar(store.address, [await kit2.listen(server.serve)])
     broken = []
     for number in range(KEYS):
         target = kit2_objects.target_of(f"history-{number}")
--- a/review/kit2.py
+++ b/review/kit2.py
@@ -91,7 +91,7 @@
     )
 
 
-def sidecar_config(port: int, objects_port: int, agent: str, store: str, server_port: int) -> str:
+def sidecar_config(port: int, objects_port: int, agent: str, store: str) -> str:
     """Return the example operator's file with the addresses of this case."""
     text = (ROOT / "deploy/sidecar.toml").read_text()
     for old, new in (
@@ -99,7 +99,6 @@
         ("127.0.0.1:8080", f"{LOOPBACK}:{objects_port}"),
         ("127.0.0.1:8500", agent),
         ("127.0.0.1:6380", store),
-        ("server_port = 8081", f"server_port = {server_port}"),
     ):
         text = text.replace(old, new)
     return text
@@ -341,16 +340,18 @@
         config = platform_config(port, agent, nodes, memory_mb)
         return await self._start(Program(config, ".json", port, agent, self.folder, self.record))
 
-    async def start_sidecar(self, store: str, object_server: str) -> Program:
-        """Start the agent with one node, and the example sidecar; return it once it is ready.
+    async def start_sidecar(self, store: str, object_servers: list[str]) -> Program:
+        """Start the agent and the example sidecar; return it once it is ready.
 
-        The node's object server is at ``object_server``; nobody sends RESP2 to the node.
+        Each object server is that of one storage node; nobody sends RESP2 to the nodes.
         """
-        self.agent.targets = [node_entry("s-0", f"{LOOPBACK}:{free_port()}", 0)]
+        self.agent.targets = [
+            node_entry(f"s-{shard}", f"{LOOPBACK}:{free_port()}", shard, object_endpoint=server)
+            for shard, server in enumerate(object_servers)
+        ]
         agent = await listen(self.agent.serve)
         port, self.objects_port = free_port(), free_port()
-        server_port = int(object_server.rpartition(":")[2])
-        config = sidecar_config(port, self.objects_port, agent, store, server_port)
+        config = sidecar_config(port, self.objects_port, agent, store)
         return await self._start(Program(config, ".toml", port, agent, self.folder, self.record))
 
     async def _start(self, program: Program) -> Program:
