Show that slow readers of long values drive the scheduler over its memory

Cause: a blocked client's further answers are added to its buffer without a check of the limit for all clients.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -155,6 +155,26 @@
         """Return whether the process has ended."""
         return self.process.poll() is not None
 
+    async def limit_memory(self, memory_mb: int) -> None:
+        """Do as the platform does: kill the scheduler once its memory is over its limit.
+
+        Only its private memory counts here, without the pages of files. Record the peak every second.
+        """
+        peak = 0
+        recorded_at = 0.0
+        while not self.has_ended():
+            status = Path(f"/proc/{self.process.pid}/status").read_text()
+            found = re.search(r"RssAnon:\s+(\d+) kB", status)
+            peak = max(peak, int(found[1]) if found else 0)
+            if peak > memory_mb << 10:
+                self.process.kill()
+                self._record(f"the platform kills the scheduler: {peak >> 10} of {memory_mb} MB")
+                return
+            if time.monotonic() - recorded_at >= 1:
+                recorded_at = time.monotonic()
+                self._record(f"peak of the scheduler's memory: {peak >> 10} MB")
+            await asyncio.sleep(0.02)
+
     def close(self) -> None:
         """End the process with SIGTERM, or with SIGKILL if it stays; record the end of its log."""
         if self.process.poll() is None:
@@ -366,7 +386,7 @@
 
 async def _run(case: Case, world: World) -> int:
     broken = await asyncio.wait_for(case(world), LIMIT_S)
-    if world.program is not None and world.program.has_ended():
+    if not broken and world.program is not None and world.program.has_ended():
         broken.append(f"the scheduler ended with {world.program.process.returncode}")
     for line in broken[:20]:
         world.record("BROKEN:", line)
