Show that a silent store makes a write that may not be repeated run twice

Cause: a write that has run is refused with Retry-After if its placement can't be recorded, whatever its class.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -351,6 +351,7 @@
         self.agent = Agent()
         self.program: Program | None = None
         self.objects_port = 0
+        self.class_effects: dict[str, str] = {}  # effects of classes that differ from the example sidecar's
 
     async def start_platform(self, nodes: list[dict[str, Any]], memory_mb: int = 192) -> Program:
         """Start the agent and a scheduler as on the platform; return it once it is ready."""
@@ -372,6 +373,9 @@
         agent = await listen(self.agent.serve)
         port, self.objects_port = free_port(), free_port()
         config = sidecar_config(port, self.objects_port, agent, store)
+        for name, effect in self.class_effects.items():
+            before, found, after = config.partition(f'Name = "{name}"')
+            config = before + found + after.replace('Effect = "retryable"', f'Effect = "{effect}"', 1)
         return await self._start(Program(config, ".toml", port, agent, self.folder, self.record))
 
     async def _start(self, program: Program) -> Program:
