--- a/review/kit2.py
+++ b/review/kit2.py
@@ -23,7 +23,7 @@
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
-LIMIT_S = 110.0
+LIMIT_S = 90.0
 END_S = 8.0  # the longest deadline counts as 3 s, and 0.7 s more pass before the platform's SIGKILL
 SLACK_S = 0.5  # an answer up to this long after its time is late, but not lost
 LOOPBACK = "127.0.0.1"
@@ -111,6 +111,7 @@
         self.port = port
         self._record = record
         self._folder = folder
+        folder.mkdir()
         path = folder / f"config{suffix}"
         path.write_text(config)
         temporary = folder / "tmp"
@@ -343,14 +344,14 @@
 
 
 class World:
-    """What a case uses: the record, a temporary folder, the agent and the scheduler."""
+    """What a case uses: the record, a temporary folder, the agent and the schedulers."""
 
     def __init__(self, folder: Path, record: Record) -> None:
         self.folder = folder
         self.record = record
         self.agent = Agent()
-        self.program: Program | None = None
-        self.objects_port = 0
+        self.programs: list[Program] = []
+        self.objects_port = 0  # of the sidecar that was started last
         self.class_effects: dict[str, str] = {}  # effects of classes that differ from the example sidecar's
 
     async def start_platform(self, nodes: list[dict[str, Any]], memory_mb: int = 192) -> Program:
@@ -359,7 +360,7 @@
         agent = await listen(self.agent.serve)
         port = free_port()
         config = platform_config(port, agent, nodes, memory_mb)
-        return await self._start(Program(config, ".json", port, agent, self.folder, self.record))
+        return await self._start(Program(config, ".json", port, agent, self._folder_of_next(), self.record))
 
     async def start_sidecar(self, store: str, object_servers: list[str]) -> Program:
         """Start the agent and the example sidecar; return it once it is ready.
@@ -373,13 +374,17 @@
         agent = await listen(self.agent.serve)
         port, self.objects_port = free_port(), free_port()
         config = sidecar_config(port, self.objects_port, agent, store)
+        config = config.replace('seed = "0"', f'seed = "{len(self.programs) + 1:x}"')
         for name, effect in self.class_effects.items():
             before, found, after = config.partition(f'Name = "{name}"')
             config = before + found + after.replace('Effect = "retryable"', f'Effect = "{effect}"', 1)
-        return await self._start(Program(config, ".toml", port, agent, self.folder, self.record))
+        return await self._start(Program(config, ".toml", port, agent, self._folder_of_next(), self.record))
+
+    def _folder_of_next(self) -> Path:
+        return self.folder / str(len(self.programs))
 
     async def _start(self, program: Program) -> Program:
-        self.program = program
+        self.programs.append(program)
         await program.wait_ready()
         self.record("scheduler ready on port", program.port)
         return program
@@ -390,8 +395,9 @@
 
 async def _run(case: Case, world: World) -> int:
     broken = await asyncio.wait_for(case(world), LIMIT_S)
-    if not broken and world.program is not None and world.program.has_ended():
-        broken.append(f"the scheduler ended with {world.program.process.returncode}")
+    if not broken:
+        ended = [program.process.returncode for program in world.programs if program.has_ended()]
+        broken += [f"a scheduler ended with {code}" for code in ended]
     for line in broken[:20]:
         world.record("BROKEN:", line)
     world.record("rule broken" if broken else "rule held", f"({len(broken)} times)", f"trouble={TROUBLE}")
@@ -401,6 +407,7 @@
 
 def run_case(file: str, case: Case) -> None:
     """Run a case in its folder and exit with its result."""
+    signal.signal(signal.SIGTERM, lambda *_: sys.exit(COULD_NOT_RUN))  # so that the processes are ended
     record = Record(Path(file).resolve().parent)
     with tempfile.TemporaryDirectory() as temporary:
         world = World(Path(temporary), record)
@@ -411,6 +418,6 @@
             record("could not run:", repr(error))
             print("could not run:", repr(error))
         finally:
-            if world.program is not None:
-                world.program.close()
+            for program in world.programs:
+                program.close()
     sys.exit(code)
