Tell a case that couldn't run from a broken rule in the second review's scripts

Cause: an unexpected end of a case's Python process has the status 1 as well, which means a broken rule.

--- a/review/kit2.py
+++ b/review/kit2.py
@@ -5,6 +5,7 @@
 """
 
 import asyncio
+import contextlib
 import json
 import os
 import random
@@ -22,7 +23,7 @@
 
 ROOT = Path(__file__).resolve().parent.parent
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-HELD, BROKEN, COULD_NOT_RUN = 0, 1, 2
+HELD, BROKEN, COULD_NOT_RUN = 0, 10, 2  # run.sh exits with 1 for BROKEN alone, with 2 for any other status
 LIMIT_S = 90.0
 END_S = 8.0  # the longest deadline counts as 3 s, and 0.7 s more pass before the platform's SIGKILL
 SLACK_S = 0.5  # an answer up to this long after its time is late, but not lost
@@ -401,7 +402,8 @@
     for line in broken[:20]:
         world.record("BROKEN:", line)
     world.record("rule broken" if broken else "rule held", f"({len(broken)} times)", f"trouble={TROUBLE}")
-    print(f"{'broken' if broken else 'held'} ({len(broken)})", *broken[:3], sep="\n  ")
+    with contextlib.suppress(OSError):
+        print(f"{'broken' if broken else 'held'} ({len(broken)})", *broken[:3], sep="\n  ")
     return BROKEN if broken else HELD
 
 
@@ -416,7 +418,8 @@
             code = asyncio.run(_run(case, world))
         except Exception as error:
             record("could not run:", repr(error))
-            print("could not run:", repr(error))
+            with contextlib.suppress(OSError):
+                print("could not run:", repr(error))
         finally:
             for program in world.programs:
                 program.close()
