Log which step failed and what had run when the shared store is unavailable

Cause: 'shared store unavailable' was logged alike for a lookup, before any node is asked, and for a record, after a node has run the operation.

Change: the event has the operation, the step (lookup or record), the key and the shard of the node.

--- a/runloft/listeners/objects/forwarding.py
+++ b/runloft/listeners/objects/forwarding.py
@@ -58,7 +58,8 @@
         try:
             placement = await services.placements.find(operation)
         except StoreUnavailableError as error:
-            raise self._store_error(error) from None
+            _log_store_failure(error, operation, "lookup")
+            raise store_unavailable_error() from None
         if operation.kind is OperationKind.CREATE_UPLOAD:
             # The id is generated here, so that a retried attempt does not create a second upload.
             operation = replace(operation, upload_id=uuid.uuid4().hex)
@@ -114,7 +115,8 @@
         try:
             await self._services.placements.record(routed, stream, exchange.shard)
         except StoreUnavailableError as error:
-            raise self._store_error(error) from None
+            _log_store_failure(error, routed.operation, "record", exchange.shard)
+            raise store_unavailable_error() from None
         if is_creation and stream.status < 300:
             await self._writer.write_document(200, upload_created_document(routed.operation))
             return
@@ -132,7 +134,16 @@
             raise ConnectionAbortedError("response of the storage node ended early")
         await self._writer.write(h11.EndOfMessage())
 
-    @staticmethod
-    def _store_error(error: StoreUnavailableError) -> ObjectApiError:
-        log.warning("shared store unavailable", error=str(error))
-        return store_unavailable_error()
+
+def _log_store_failure(
+    error: StoreUnavailableError, operation: Operation, step: str, shard: int | None = None
+) -> None:
+    """Log a failed lookup, or a failed record after a node of ``shard`` has run the operation."""
+    log.warning(
+        "shared store unavailable",
+        operation=operation.kind,
+        step=step,
+        key=error.key,
+        shard=shard,
+        error=str(error),
+    )
