Answer a write that has run as failed, not refused, if it may not be repeated

Callers saw: the shared store is silent for 1.5 s, and writes that a node has run are answered with 503 and Retry-After.

Cause: RequestForwarder._forward_response answered a record that fails after the node has run the operation like a lookup that fails before it. The class's effect, which the core asks before it refuses a request, was not asked.

A failed lookup, a refusal by the core and the sidecar's own retries are excluded.

Fix: the core's rule is stated once, ClassSettings.is_safe_to_shed; the object API asks it for the class that the operation had on arrival. A harmless repetition is refused as before, any other outcome is 500 without Retry-After. So nothing that has run is told to come again unless running twice is allowed.

--- a/runloft/decisions/settings.py
+++ b/runloft/decisions/settings.py
@@ -38,6 +38,13 @@
     streamed: bool = False
     writes: bool = False
 
+    @property
+    def is_safe_to_shed(self) -> bool:
+        """Return whether a client's retry is harmless even if an attempt was executed."""
+        if self.idempotency is Idempotency.IDEMPOTENT_WITH_KEY:
+            return self.idempotency_scope is IdempotencyScope.ALL
+        return self.idempotency is Idempotency.IDEMPOTENT
+
 
 @dataclass(frozen=True, slots=True)
 class PlanSettings:
--- a/runloft/decisions/tracked_request.py
+++ b/runloft/decisions/tracked_request.py
@@ -1,7 +1,7 @@
 """A request that the scheduler received, and its attempts."""
 
 from runloft.decisions.events import Request
-from runloft.decisions.settings import ClassSettings, Idempotency, IdempotencyScope
+from runloft.decisions.settings import ClassSettings, Idempotency
 
 # Fraction of the time left on arrival after which a request that reached no node is shed.
 MAX_QUEUED_FRACTION = 0.45
@@ -20,7 +20,6 @@
         "id",
         "in_flight",
         "is_finished",
-        "is_safe_to_shed",
         "is_streaming",
         "last_sent_at",
         "objective_at",
@@ -42,11 +41,6 @@
         self.deadline = now + request.time_left_ns
         self.queue_deadline = now + int(MAX_QUEUED_FRACTION * request.time_left_ns)
         self.received_at = now
-        # Whether a retry by the client is harmless even if an attempt was executed.
-        self.is_safe_to_shed = request_class.idempotency is Idempotency.IDEMPOTENT or (
-            request_class.idempotency is Idempotency.IDEMPOTENT_WITH_KEY
-            and request_class.idempotency_scope is IdempotencyScope.ALL
-        )
         self.attempts = 0
         self.has_reached_node = False  # whether a node received an attempt
         self.in_flight: dict[int, int] = {}  # attempt -> node
--- a/runloft/listeners/objects/errors.py
+++ b/runloft/listeners/objects/errors.py
@@ -36,6 +36,17 @@
     return ObjectApiError(503, "ServiceUnavailable", "the shared store is down", RETRY_AFTER_NS)
 
 
+def outcome_not_recorded_error(is_safe_to_repeat: bool) -> ObjectApiError:
+    """Return the error response for an operation that a node has run, but whose outcome isn't recorded.
+
+    Only an operation that may run twice is answered as one that was refused.
+    """
+    if is_safe_to_repeat:
+        return store_unavailable_error()
+    message = "the operation may have taken effect, but the shared store is down"
+    return ObjectApiError(500, "InternalError", message)
+
+
 def error_from_reply(reply: Reply) -> ObjectApiError:
     """Translate a final reply of the core other than ``Served``."""
     if isinstance(reply, InvalidRequest):
--- a/runloft/listeners/objects/forwarding.py
+++ b/runloft/listeners/objects/forwarding.py
@@ -10,7 +10,12 @@
 
 from runloft.core.model import ClientDisconnected, Failed, RequestReceived, RequestSpec
 from runloft.decisions.contract import AttemptOutcome
-from runloft.listeners.objects.errors import ObjectApiError, error_from_reply, store_unavailable_error
+from runloft.listeners.objects.errors import (
+    ObjectApiError,
+    error_from_reply,
+    outcome_not_recorded_error,
+    store_unavailable_error,
+)
 from runloft.listeners.objects.exchange import Exchange
 from runloft.listeners.objects.limits import MIN_REMAINING_TIME_NS
 from runloft.listeners.objects.operations import Operation, OperationKind
@@ -64,13 +69,15 @@
             # The id is generated here, so that a retried attempt does not create a second upload.
             operation = replace(operation, upload_id=uuid.uuid4().hex)
         request = services.translator.translate(operation, headers, body, volume, placement)
+        is_safe_to_repeat = services.translator.is_safe_to_repeat(operation)
+        routed = RoutedOperation(operation, placement, len(body), is_safe_to_repeat)
         exchange = Exchange(self._sock)
         if exchange.has_disconnected():  # during the store lookup
             raise ConnectionResetError("client disconnected before its request was posted")
         # The client's timeout runs from its request's last byte and includes the store lookup.
         remaining_ns = request.time_left_ns - (services.clock() - received_at)
         request = replace(request, time_left_ns=max(remaining_ns, MIN_REMAINING_TIME_NS))
-        await self._exchange(RoutedOperation(operation, placement, len(body)), request, exchange)
+        await self._exchange(routed, request, exchange)
 
     async def _exchange(self, routed: RoutedOperation, request: RequestSpec, exchange: Exchange) -> None:
         """Post the request and forward its response, unless the client disconnects first."""
@@ -116,7 +123,7 @@
             await self._services.placements.record(routed, stream, exchange.shard)
         except StoreUnavailableError as error:
             _log_store_failure(error, routed.operation, "record", exchange.shard)
-            raise store_unavailable_error() from None
+            raise outcome_not_recorded_error(routed.is_safe_to_repeat) from None
         if is_creation and stream.status < 300:
             await self._writer.write_document(200, upload_created_document(routed.operation))
             return
--- a/runloft/listeners/objects/placement.py
+++ b/runloft/listeners/objects/placement.py
@@ -17,11 +17,15 @@
 
 @dataclass(frozen=True, slots=True)
 class RoutedOperation:
-    """An operation that is forwarded by the placement that the store had for it, None if it had none."""
+    """An operation that is forwarded by the placement that the store had for it, None if it had none.
+
+    ``is_safe_to_repeat`` is that of its class when it was received: a reload doesn't change it.
+    """
 
     operation: Operation
     placement: Placement | None
     body_size: int  # bytes
+    is_safe_to_repeat: bool
 
 
 class PlacementDirectory:
--- a/runloft/listeners/objects/translation.py
+++ b/runloft/listeners/objects/translation.py
@@ -87,6 +87,10 @@
         """Return the settings of the operation's volume, which has to be configured."""
         return self._objects.volumes[operation.volume]
 
+    def is_safe_to_repeat(self, operation: Operation) -> bool:
+        """Return whether a client may repeat the operation even if a node has run it."""
+        return self._settings.classes[self._objects.classes[operation.kind]].is_safe_to_shed
+
     def translate(
         self,
         operation: Operation,
--- a/tests/support/listener_harness.py
+++ b/tests/support/listener_harness.py
@@ -93,11 +93,14 @@
 
 
 class ObjectHarness(ListenerHarness):
-    """A listener of the object API; the test answers its requests."""
+    """A listener of the object API; the test answers its requests.
 
-    def __init__(self, group, store=None):
+    ``settings`` replace those of the same names in the configuration.
+    """
+
+    def __init__(self, group, store=None, **settings):
         super().__init__()
-        parsed = config_from_json(config("127.0.0.1:1", [], "127.0.0.1:2"))
+        parsed = config_from_json(config("127.0.0.1:1", [], "127.0.0.1:2", **settings))
         self.store = store or PlaceStore()
         self.listener = ObjectListener(
             group,
