Refuse a head of many short fields before it is parsed

Here: 240 clients with heads of 16 KiB made of 'a:' lines took a process of 64 MB to 151 MB, and another client waited for 4 s.

Cause: only the bytes of a head were limited (MAX_HEAD_BYTES). A parsed field takes many times its bytes, and time to parse: 4,000 fields in 16 KiB, about 0.5 MB and 16 ms for each client.

Evidence: the same clients with the same heads that lack their last line, so that nothing is parsed, came to 47 MB.

Fix: the lines of a head are counted in the received bytes before the parser sees them, complete or not; more than 100 are answered with 431 and a close. So a head costs what its bytes cost.

Test: tests/listeners/test_object_limits.py, 4 of 5 failed before.

--- a/runloft/listeners/objects/limits.py
+++ b/runloft/listeners/objects/limits.py
@@ -1,6 +1,7 @@
 """Time, count and size limits of the object API's listener and its connections."""
 
 MAX_HEAD_BYTES = 16 << 10
+MAX_HEAD_LINES = 100  # a parsed field takes many times the memory of its bytes
 MAX_READ_AHEAD_BYTES = 64 << 10  # while a request is being served; further input waits in the socket
 BODY_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for all bodies; others wait in sockets
 
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -1,5 +1,6 @@
 """The reading side of an object API connection: heads, bodies, and the client's disconnect."""
 
+import re
 import socket
 
 import anyio
@@ -12,12 +13,14 @@
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     MAX_HEAD_BYTES,
+    MAX_HEAD_LINES,
     MAX_READ_AHEAD_BYTES,
 )
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.writing import ResponseWriter
 from runloft.net.timing import pause
 
+END_OF_HEAD = re.compile(rb"\n\r?\n")
 ReadEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -107,7 +110,7 @@
 
     async def _next_event(self, timeout_s: float) -> ReadEvent:
         with self._services.within(timeout_s):
-            while (event := self._protocol.next_event()) is h11.NEED_DATA:
+            while (event := self._parse_event()) is h11.NEED_DATA:
                 if self._protocol.they_are_waiting_for_100_continue:
                     await self._writer.write(h11.InformationalResponse(status_code=100, headers=[]))
                 try:
@@ -117,3 +120,17 @@
                     continue
                 self._protocol.receive_data(data)
         return event
+
+    def _parse_event(self) -> ReadEvent:
+        """Return the next event of the received bytes; raise ObjectApiError if a head has too many lines."""
+        if self._protocol.their_state is h11.IDLE:
+            _check_head(self._protocol.trailing_data[0])
+        return self._protocol.next_event()
+
+
+def _check_head(received: bytes) -> None:
+    """Raise ObjectApiError if the head, which may be incomplete, has too many lines to be parsed."""
+    end = END_OF_HEAD.search(received)
+    lines = received.count(b"\n", 0, end.start() + 1 if end else len(received))
+    if lines > MAX_HEAD_LINES:
+        raise ObjectApiError(431, "InvalidRequest", "the head has too many fields", closes=True)
--- /dev/null
+++ b/tests/listeners/test_object_limits.py
@@ -0,0 +1,45 @@
+"""Limits of the object API on what one connection may make the process hold."""
+
+import anyio
+import pytest
+
+from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES
+from tests.support.listener_harness import ObjectHarness, run_with_listener
+
+REQUEST_LINE = b"GET /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n"
+
+
+def head_of_lines(count):
+    """Return a complete head of ``count`` lines, most of which are the shortest possible fields."""
+    return REQUEST_LINE + b"a:\r\n" * (count - 2) + b"\r\n"
+
+
+@pytest.mark.parametrize("end", [b"\r\n", b""], ids=["complete", "incomplete"])
+@pytest.mark.parametrize("count", [MAX_HEAD_LINES + 1, MAX_HEAD_BYTES // 5])
+def test_a_head_of_too_many_fields_is_refused_before_it_is_parsed(count, end):
+    """Prevents hundreds of heads with thousands of short fields from exceeding the memory limit."""
+
+    async def scenario(harness):
+        sock, _ = harness.connect()
+        sock.sendall(head_of_lines(count)[:-2] + end)
+        with anyio.fail_after(5):
+            response = await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert response.startswith(b"HTTP/1.1 431 ") and not harness.received()
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
+
+
+def test_a_head_of_the_maximum_number_of_fields_is_served():
+    async def scenario(harness):
+        sock, client = harness.connect()
+        for _ in range(2):  # lines of an earlier request don't count
+            sock.sendall(head_of_lines(MAX_HEAD_LINES))
+            await harness.wait_until(lambda: client.is_serving)
+            await harness.wait_until(harness.received)
+            await harness.respond(client, harness.received()[-1])
+            await anyio.to_thread.run_sync(sock.recv, 1 << 20)
+            harness.posted.clear()
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
