Bound the requests that wait for the core by memory

Here: 480 clients that send 20 writes of 64 KiB each took a process of 192 MB to 218 MB, one of 64 MB to 188 MB, and 128 clients one of 32 MB to 109 MB.

Cause: the core bounds the bodies that it holds (Bounds), but it sees requests only when the runner's next iteration takes the queued events. Until then each connection posted up to all that its socket held.

Evidence: a count of live objects in the process: 768 requests, 761 of them in RequestReceived events that the core had not seen, 48 MB of bodies; 7 were the core's. With larger blocks given back to the system at once (MALLOC_MMAP_THRESHOLD_) the peak was the same, so the heap's fragmentation is excluded.

Fix: the runner tells the memory of the requests that wait for its next iteration, and the RESP2 listener posts no further one above a sixteenth of the spare memory; the command stays in its buffer for an iteration.

Test: tests/service/test_memory_limit.py (240 clients, 64 MB), failed before.

--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -75,7 +75,7 @@
         """Process up to ``COMMAND_BURST`` commands; return whether the buffer may hold more complete ones."""
         reader = self.reader
         processed = 0
-        while processed < COMMAND_BURST and len(self.pipeline) < MAX_PIPELINED and not self.is_closing:
+        while processed < COMMAND_BURST and self._may_process():
             try:
                 words = reader.next_command()
             except resp2.RespError as error:
@@ -93,6 +93,10 @@
                 self._execute(words, arrived_at)
         return not self.is_closing
 
+    def _may_process(self) -> bool:
+        """Return whether another command may be processed in this event-loop iteration."""
+        return len(self.pipeline) < MAX_PIPELINED and not self.is_closing and self.listener.may_post()
+
     def _record_incomplete_command(self) -> None:
         """Record since when a command is incomplete; bytes that arrive later do not reset the time."""
         reader = self.reader
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -53,6 +53,9 @@
     def is_under_connection_pressure(self) -> bool:
         """Return whether there are so many clients that idle connections time out sooner."""
 
+    def may_post(self) -> bool:
+        """Return whether another request may be posted before the core has processed the earlier ones."""
+
     def enforce_input_memory_limit(self) -> None:
         """Fail incomplete commands while input buffers exceed their memory limit."""
 
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -7,6 +7,7 @@
 MAX_ERRORS = 24  # in a row on one connection; the next error closes it
 
 INPUT_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for the receive buffers of all clients
+QUEUE_MEMORY_DIVISOR = 16  # spare memory divided by this: limit for requests that the core hasn't seen
 OUTPUT_MEMORY_DIVISOR = 4  # spare memory divided by this: limit for the unwritten responses of all clients
 
 # From a command's first byte to its last; for the first command, from connecting.
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -14,14 +14,26 @@
 from runloft.listeners.resp.commands import CommandTranslator
 from runloft.listeners.resp.connection import RespClient
 from runloft.listeners.resp.lifetime import ClientLifetime
-from runloft.listeners.resp.limits import INPUT_MEMORY_DIVISOR, OUTPUT_MEMORY_DIVISOR
+from runloft.listeners.resp.limits import (
+    INPUT_MEMORY_DIVISOR,
+    OUTPUT_MEMORY_DIVISOR,
+    QUEUE_MEMORY_DIVISOR,
+)
 from runloft.listeners.resp.reading import InputMemory
 from runloft.net.socket_state import half_closed
 from runloft.net.timing import Clock
 
 
+def no_queued_bytes() -> int:
+    """Return 0: the core processes each event at once."""
+    return 0
+
+
 class RespListener(ListenerBase[RespClient]):
-    """The listener of the platform's protocol."""
+    """The listener of the platform's protocol.
+
+    ``queued_request_bytes`` returns the memory of the posted requests that the core has not processed yet.
+    """
 
     def __init__(
         self,
@@ -30,7 +42,9 @@
         timers: TimerQueue,
         clock: Clock,
         config: Config,
+        queued_request_bytes: Callable[[], int] = no_queued_bytes,
     ) -> None:
+        self._queued_request_bytes = queued_request_bytes
         self.paused_clients: set[ClientLifetime] = set()  # clients whose input is not being read
         self.input_memory = InputMemory()
         self._is_poll_scheduled = False
@@ -41,12 +55,20 @@
         super().configure(config)
         self.translator = CommandTranslator(config)
         self.input_memory.max_bytes = config.spare_bytes // INPUT_MEMORY_DIVISOR
+        self.max_queued_bytes = config.spare_bytes // QUEUE_MEMORY_DIVISOR
         self.max_output_bytes = config.spare_bytes // OUTPUT_MEMORY_DIVISOR
 
     def new_client(self, sock: socket.socket) -> RespClient:
         """Return the connection that serves an accepted socket."""
         return RespClient(self, sock)
 
+    def may_post(self) -> bool:
+        """Return whether another request may be posted before the core has processed the earlier ones.
+
+        The core limits the requests that it holds, but only when it has seen them.
+        """
+        return self._queued_request_bytes() < self.max_queued_bytes
+
     def forget(self, client: ClientLifetime) -> None:
         """Remove a closed connection."""
         self.clients.discard(client)
--- a/runloft/service/runner.py
+++ b/runloft/service/runner.py
@@ -11,6 +11,7 @@
     Effect,
     Event,
     NodeListUpdate,
+    RequestReceived,
     SendResponse,
     StartResponse,
 )
@@ -20,6 +21,7 @@
 
 log = structlog.get_logger()
 SLOW_ITERATION_NS = 15_000_000  # longer iterations put responses near their deadline at risk
+QUEUED_REQUEST_BYTES = 2048  # of a queued request besides its payload
 MAX_CLOCK_ERROR_NS = 500_000_000  # beyond this the wall clock is considered unreliable
 
 
@@ -44,6 +46,7 @@
         self.clock_error_ns = clock_error_ns
         self.pools: dict[str, Upstream] = {}
         self.events: list[Event] = []
+        self._queued_request_bytes = 0
         self._wake = anyio.Event()
         # Without a wake-up, a timer added between two iterations would fire only after the next event.
         timers.on_earliest_changed = self._wake_up
@@ -54,8 +57,14 @@
     def post(self, event: Event) -> None:
         """Queue an event for the next iteration."""
         self.events.append(event)
+        if isinstance(event, RequestReceived):
+            self._queued_request_bytes += QUEUED_REQUEST_BYTES + event.spec.payload.buffered_bytes
         self._wake.set()
 
+    def queued_request_bytes(self) -> int:
+        """Return the memory of the requests that wait for the next iteration, which may refuse them."""
+        return self._queued_request_bytes
+
     async def run(self) -> None:
         """Process events whenever some are queued or a timer is due, until cancelled."""
         while True:
@@ -84,6 +93,7 @@
     def _process_events(self) -> None:
         events = self.events
         self.events = []
+        self._queued_request_bytes = 0
         for event in events:
             if isinstance(event, NodeListUpdate):
                 self._update_nodes(event)
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -181,7 +181,10 @@
             # Clients may use half of the descriptors; the pools share the rest.
             descriptors_divisor=4 if config.objects else 2,
         )
-        listener = RespListener(self.tasks, self.runner.post, self.runner.timers, self.runner.clock, config)
+        runner = self.runner
+        listener = RespListener(
+            self.tasks, runner.post, runner.timers, runner.clock, config, runner.queued_request_bytes
+        )
         await self._listen(listener, ListenAddress("listen", *config.listen))
         if config.objects:
             await self._open_object_api(config.objects)
--- /dev/null
+++ b/tests/service/test_memory_limit.py
@@ -0,0 +1,72 @@
+"""The process's memory while hundreds of clients make it hold as much as they can."""
+
+import asyncio
+
+import pytest
+
+from tests.support.commands import REQUEST_IDS, write_command
+from tests.support.standins import Discovery, Program, RespNode, config, entry
+
+CLIENTS = 240
+MEMORY_MB = 64
+VALUE_BYTES = 64 << 10
+DEADLINE_MS = 500
+
+
+def large_write():
+    return write_command(VALUE_BYTES, b"%016x" % next(REQUEST_IDS), DEADLINE_MS)
+
+
+def many_large_writes(_):
+    """Ten writes of the maximum size at once, which the core can't all hold."""
+    return b"".join(large_write() for _ in range(10))
+
+
+RESP_INPUTS = {"many large writes": many_large_writes}
+
+
+@pytest.fixture
+def program(tmp_path):
+    """A process in front of a node that never answers."""
+    discovery, node = Discovery(), RespNode()
+    node.lock.acquire()
+    raw = config(discovery.address, [entry(node.address)])
+    raw["limits"] = {"cores": 1.0, "memory_mb": MEMORY_MB, "sockets": 1024}
+    program = Program(raw, tmp_path / "config.json")
+    yield program
+    program.close()
+    node.close()
+    discovery.close()
+
+
+async def send_and_receive(port, data):
+    """Send without waiting, then read to the end of the stream or until nothing comes any more."""
+    reader, writer = await asyncio.open_connection("127.0.0.1", port)
+    try:
+        writer.write(data)
+        await asyncio.wait_for(writer.drain(), 5)
+        while await asyncio.wait_for(reader.read(1 << 16), 2 * DEADLINE_MS / 1000):
+            pass
+    except (OSError, TimeoutError):
+        pass
+    finally:
+        writer.transport.abort()
+
+
+async def send_from_all(port, make_input):
+    await asyncio.gather(*(send_and_receive(port, make_input(number)) for number in range(CLIENTS)))
+
+
+def peak_mb(program):
+    """Return the largest resident size that the process has had, in MB."""
+    with open(f"/proc/{program.process.pid}/status") as status:
+        (line,) = (line for line in status if line.startswith("VmHWM:"))
+    return int(line.split()[1]) / 1024
+
+
+@pytest.mark.parametrize("name", RESP_INPUTS)
+def test_hundreds_of_clients_do_not_exceed_the_memory_limit(program, name):
+    """Prevents the platform from ending the process for its memory: each input did that once."""
+    asyncio.run(send_from_all(program.ports["RespListener"], RESP_INPUTS[name]))
+    assert program.process.poll() is None
+    assert peak_mb(program) <= MEMORY_MB
--- a/tests/support/commands.py
+++ b/tests/support/commands.py
@@ -22,7 +22,7 @@
     return resp_array(b"IO.IN", b"7f3a9c21e0b4d655", b"%016x" % next(REQUEST_IDS), attributes)
 
 
-def write_command(size):
-    """Return a write command for ``size`` bytes, with a deadline of 2 s."""
-    attributes = b"c=report-write,t=basic,d=2000,volume=00000003b4d60021,units=2,shard=0,hosts=1"
-    return resp_array(b"IO.OUT", b"7f3a9c21e0b4d655", b"9b1f03aa5c7e2d41", attributes, b"b" * size)
+def write_command(size, request_id=b"9b1f03aa5c7e2d41", deadline_ms=2000):
+    """Return a write command for ``size`` bytes."""
+    attributes = b"c=report-write,t=basic,d=%d,volume=00000003b4d60021,units=2,shard=0,hosts=1" % deadline_ms
+    return resp_array(b"IO.OUT", b"7f3a9c21e0b4d655", request_id, attributes, b"b" * size)
