Free the buffers of closed and failed connections at once

Here: 128 such clients took a process of 32 MB to 37 MB, though the receive buffers were limited to 1 MB.

Cause: the listener fails incomplete commands while input exceeds its limit, and subtracts their buffers when they are closed. But a connection's objects refer to one another, so the buffers themselves lived until the next collection of cycles. And a failed connection that still owed a response kept its buffer in the account, so the listener went on and failed the incomplete commands of all others.

Evidence: buffers counted in the process: 16 open connections with 960 KB, 115 closed ones with 7,240 KB, while the account said 960 KB.

Fix: a connection that is closed drops its receive and send buffers and its pipeline; one that is failed drops its receive buffer, of which nothing is processed any more. The account and the memory agree.

--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -180,6 +180,7 @@
             self.is_closing = True
             self.close_reason = CloseReason.PROTOCOL_ERROR
             self.reading_scope.cancel()
+            self.reader.release()
             self.pipeline.add_response().complete(b"-ERR Protocol error: %s\r\n" % reason.encode())
 
     def release(self, reason: CloseReason, unanswered: int) -> None:
@@ -194,6 +195,7 @@
         for response in self.pipeline.unanswered():
             self.listener.post(ClientDisconnected(response))
         self.pipeline.clear()
+        self.writer.release()
 
     def _refuse_unprocessed(self) -> None:
         """Answer BUSY to the complete commands that were read but not processed, so that each is answered."""
--- a/runloft/listeners/resp/pipelining.py
+++ b/runloft/listeners/resp/pipelining.py
@@ -103,3 +103,4 @@
     def clear(self) -> None:
         """Drop all responses, as the connection is closed."""
         self._responses.clear()
+        self.pending_bytes = 0
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -123,8 +123,12 @@
         self._account()
 
     def release(self) -> None:
-        """Subtract the buffer from the listener's input memory, when the connection is closed."""
-        self._memory.used_bytes -= self._accounted_bytes
+        """Drop the received bytes and release their memory at once, when no further command is processed.
+
+        The connection's objects refer to one another, so that they live until the next garbage collection.
+        """
+        self.inbox.release()
+        self._account()
 
     def _account(self) -> None:
         size = len(self.inbox.data)
--- a/runloft/listeners/resp/writing.py
+++ b/runloft/listeners/resp/writing.py
@@ -59,6 +59,10 @@
         self._task_group.start_soon(self._write_remaining)
         self._observer.on_write_blocked()
 
+    def release(self) -> None:
+        """Drop the unsent bytes and release their memory, when the connection is closed."""
+        self.outbox.release()
+
     async def _write_remaining(self) -> None:
         try:
             while not self.outbox.flush(self._sock):
--- a/runloft/net/buffers.py
+++ b/runloft/net/buffers.py
@@ -55,9 +55,13 @@
     def shrink(self) -> None:
         """Release the memory if all data is parsed, since most connections are idle most of the time."""
         if self.start == self.end and self.data:
-            self.data = bytearray()
-            self.start = 0
-            self.end = 0
+            self.release()
+
+    def release(self) -> None:
+        """Release the memory and drop all data."""
+        self.data = bytearray()
+        self.start = 0
+        self.end = 0
 
 
 class SendBuffer:
@@ -74,6 +78,11 @@
                 self.chunks.append(memoryview(chunk))
                 self.size += len(chunk)
 
+    def release(self) -> None:
+        """Release the memory and drop the unsent bytes."""
+        self.chunks.clear()
+        self.size = 0
+
     def flush(self, sock: socket.socket) -> bool:
         """Write as much as the socket accepts; return whether all bytes are written."""
         while self.chunks:
