Count responses that wait for an earlier one, and share the output memory

Here: 100 clients that send a request and 120 PINGs of 64 KiB behind it took a process of 192 MB to 776 MB, and one of 64 MB to 333 MB.

Cause: has_space() saw only the responses that the socket had not taken. Those that wait for an earlier one in the pipeline (pending_bytes) stopped nobody, and the limit for all clients is enforced only when a write blocks.

Fix: what a connection's responses use, pending or not, counts when its next command is to be processed, and is summed in an account. Once half of the output memory is used, each connection is left an even share; one without responses may always go on. A PING's message has at most 1 KiB: it is the only response that costs no node anything.

--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -18,6 +18,7 @@
     COMMAND_BURST,
     DRAIN_POLL_INTERVAL_S,
     LINGER_NS,
+    MAX_ECHO_BYTES,
     MAX_ERRORS,
     MAX_PIPELINED,
     SHUTDOWN_LINGER_NS,
@@ -113,7 +114,7 @@
         if name in REQUEST_COMMANDS:
             self._post_request(response, words, arrived_at)
         elif name == b"PING":
-            response.complete(*(resp2.encode_bulk_string(words[1]) if len(words) > 1 else (b"+PONG\r\n",)))
+            self._answer_ping(response, words)
         elif name in ACKNOWLEDGED_COMMANDS:
             response.complete(b"+OK\r\n")
         elif name == b"QUIT":
@@ -123,6 +124,14 @@
         else:
             self._reject(response, "unknown command")
 
+    def _answer_ping(self, response: PipelinedResponse, words: list[bytes]) -> None:
+        if len(words) == 1:
+            response.complete(b"+PONG\r\n")
+        elif len(words[1]) <= MAX_ECHO_BYTES:
+            response.complete(*resp2.encode_bulk_string(words[1]))
+        else:
+            self._reject(response, "message too long")
+
     def _post_request(self, response: PipelinedResponse, words: list[bytes], arrived_at: int) -> None:
         try:
             request = self.listener.translator.translate(words, self.last_activity_at - arrived_at)
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -26,13 +26,14 @@
     IDLE_TIMEOUT_NS,
     LINGER_NS,
     MAX_PIPELINED,
-    MAX_UNWRITTEN_BYTES,
     PRESSURE_IDLE_TIMEOUT_NS,
     RECHECK_INTERVAL_NS,
+    RESPONSE_BYTES,
     WRITE_STALL_TIMEOUT_NS,
 )
+from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
 from runloft.listeners.resp.pipelining import BUSY, ResponsePipeline
-from runloft.listeners.resp.reading import CommandReader, InputMemory
+from runloft.listeners.resp.reading import CommandReader
 from runloft.listeners.resp.writing import ResponseWriter
 from runloft.net import resp2
 from runloft.net.timing import Clock
@@ -46,7 +47,8 @@
     timers: TimerQueue
     clock: Clock
     translator: CommandTranslator
-    input_memory: InputMemory
+    input_memory: MemoryAccount
+    output_memory: MemoryAccount
     stopping: bool
     has_backlog: bool
 
@@ -56,6 +58,9 @@
     def may_post(self) -> bool:
         """Return whether another request may be posted before the core has processed the earlier ones."""
 
+    def max_unwritten_bytes(self) -> int:
+        """Return how much a connection's responses may use before its next command is processed."""
+
     def enforce_input_memory_limit(self) -> None:
         """Fail incomplete commands while input buffers exceed their memory limit."""
 
@@ -89,6 +94,7 @@
         self.last_activity_at = listener.clock()  # the last complete command or written response
         self.reader = CommandReader(sock, listener.input_memory, listener.clock, listener.has_backlog)
         self.pipeline = ResponsePipeline(self)
+        self._output_share = MemoryShare(listener.output_memory)
         self.writer = ResponseWriter(sock, listener.task_group, listener.clock, self)
         self.reading_scope = anyio.CancelScope()
         self.space_event: anyio.Event | None = None  # set once further commands may be processed
@@ -112,7 +118,9 @@
 
     def has_space(self) -> bool:
         """Return whether another command may be processed."""
-        return len(self.pipeline) < MAX_PIPELINED and self.writer.outbox.size <= MAX_UNWRITTEN_BYTES
+        self._account_output()
+        has_memory = self._output_share.used_bytes <= self.listener.max_unwritten_bytes()
+        return len(self.pipeline) < MAX_PIPELINED and has_memory
 
     def flush(self) -> None:
         """Write the complete responses at the head of the pipeline."""
@@ -121,6 +129,7 @@
         while (buffers := self.pipeline.pop_ready()) is not None:
             self.writer.outbox.push(*buffers)
         self.writer.flush()
+        self._account_output()
 
     def on_write_blocked(self) -> None:
         """Have the listener enforce its memory limit for unwritten responses."""
@@ -196,6 +205,12 @@
             self.listener.post(ClientDisconnected(response))
         self.pipeline.clear()
         self.writer.release()
+        self._account_output()
+
+    def _account_output(self) -> None:
+        """Update what this connection's responses use, whether or not they are complete."""
+        used_bytes = self.writer.outbox.size + self.pipeline.pending_bytes
+        self._output_share.set(used_bytes + RESPONSE_BYTES * len(self.pipeline))
 
     def _refuse_unprocessed(self) -> None:
         """Answer BUSY to the complete commands that were read but not processed, so that each is answered."""
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -3,6 +3,11 @@
 MAX_PIPELINED = 128  # unanswered commands per connection; further ones wait in the socket
 COMMAND_BURST = 16  # commands of one connection processed in a row before other tasks run
 MAX_UNWRITTEN_BYTES = 512 << 10  # of responses on one connection; above it no further command is processed
+OUTPUT_SHARE_DIVISOR = (
+    2  # an even share of the output memory, divided by this, is left when half of it is used
+)
+RESPONSE_BYTES = 512  # memory of a pipelined response besides its content
+MAX_ECHO_BYTES = 1024  # of a PING's message
 MAX_COMMAND_BYTES = 72 << 10
 MAX_ERRORS = 24  # in a row on one connection; the next error closes it
 
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -16,10 +16,12 @@
 from runloft.listeners.resp.lifetime import ClientLifetime
 from runloft.listeners.resp.limits import (
     INPUT_MEMORY_DIVISOR,
+    MAX_UNWRITTEN_BYTES,
     OUTPUT_MEMORY_DIVISOR,
+    OUTPUT_SHARE_DIVISOR,
     QUEUE_MEMORY_DIVISOR,
 )
-from runloft.listeners.resp.reading import InputMemory
+from runloft.listeners.resp.memory import MemoryAccount
 from runloft.net.socket_state import half_closed
 from runloft.net.timing import Clock
 
@@ -46,7 +48,8 @@
     ) -> None:
         self._queued_request_bytes = queued_request_bytes
         self.paused_clients: set[ClientLifetime] = set()  # clients whose input is not being read
-        self.input_memory = InputMemory()
+        self.input_memory = MemoryAccount()
+        self.output_memory = MemoryAccount()
         self._is_poll_scheduled = False
         super().__init__(task_group, post, timers, clock, config)
 
@@ -56,7 +59,7 @@
         self.translator = CommandTranslator(config)
         self.input_memory.max_bytes = config.spare_bytes // INPUT_MEMORY_DIVISOR
         self.max_queued_bytes = config.spare_bytes // QUEUE_MEMORY_DIVISOR
-        self.max_output_bytes = config.spare_bytes // OUTPUT_MEMORY_DIVISOR
+        self.output_memory.max_bytes = config.spare_bytes // OUTPUT_MEMORY_DIVISOR
 
     def new_client(self, sock: socket.socket) -> RespClient:
         """Return the connection that serves an accepted socket."""
@@ -69,6 +72,13 @@
         """
         return self._queued_request_bytes() < self.max_queued_bytes
 
+    def max_unwritten_bytes(self) -> int:
+        """Return how much a connection's responses may use before its next command is processed."""
+        if not self.output_memory.is_half_used():
+            return MAX_UNWRITTEN_BYTES
+        even_share = self.output_memory.max_bytes // max(1, len(self.clients))
+        return min(MAX_UNWRITTEN_BYTES, even_share // OUTPUT_SHARE_DIVISOR)
+
     def forget(self, client: ClientLifetime) -> None:
         """Remove a closed connection."""
         self.clients.discard(client)
@@ -106,7 +116,7 @@
         unwritten = {
             client: client.writer.outbox.size + client.pipeline.pending_bytes for client in self.clients
         }
-        while sum(unwritten.values()) > self.max_output_bytes:
+        while sum(unwritten.values()) > self.output_memory.max_bytes:
             largest = max(unwritten, key=lambda client: unwritten[client])
             del unwritten[largest]
             largest.close(CloseReason.NOT_READING)
--- /dev/null
+++ b/runloft/listeners/resp/memory.py
@@ -0,0 +1,32 @@
+"""The memory that the connections of a listener share."""
+
+
+class MemoryAccount:
+    """The memory that all connections of a listener use for one purpose, and its limit."""
+
+    def __init__(self) -> None:
+        self.used_bytes = 0
+        self.max_bytes = 1 << 20
+
+    def is_exceeded(self) -> bool:
+        """Return whether more than the limit is used."""
+        return self.used_bytes > self.max_bytes
+
+    def is_half_used(self) -> bool:
+        """Return whether more than half of the limit is used, so that connections have to save."""
+        return self.used_bytes > self.max_bytes // 2
+
+
+class MemoryShare:
+    """The part of an account that one connection uses."""
+
+    __slots__ = ("_account", "used_bytes")
+
+    def __init__(self, account: MemoryAccount) -> None:
+        self.used_bytes = 0
+        self._account = account
+
+    def set(self, used_bytes: int) -> None:
+        """Set what the connection uses now."""
+        self._account.used_bytes += used_bytes - self.used_bytes
+        self.used_bytes = used_bytes
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -3,28 +3,13 @@
 import socket
 
 from runloft.listeners.resp.limits import MAX_COMMAND_BYTES
+from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
 from runloft.net import resp2
 from runloft.net.buffers import ArrivalTimes, ReceiveBuffer
 from runloft.net.socket_state import data_age_ns
 from runloft.net.timing import Clock
 
 
-class InputMemory:
-    """The memory that the receive buffers of all connections of a listener use, and its limit."""
-
-    def __init__(self) -> None:
-        self.used_bytes = 0
-        self.max_bytes = 1 << 20
-
-    def is_exceeded(self) -> bool:
-        """Return whether the buffers use more than the limit."""
-        return self.used_bytes > self.max_bytes
-
-    def is_half_used(self) -> bool:
-        """Return whether more than half of the limit is used, above which nothing is read ahead."""
-        return self.used_bytes > self.max_bytes // 2
-
-
 class CommandReader:
     """Reads commands from a connection's socket, which it does not own.
 
@@ -32,28 +17,28 @@
     """
 
     __slots__ = (
-        "_accounted_bytes",
         "_arrivals",
         "_clock",
         "_earliest_arrival_at",
         "_may_predate_accept",
         "_memory",
+        "_memory_share",
         "_sock",
         "inbox",
         "incomplete_since",
     )
 
     def __init__(
-        self, sock: socket.socket, memory: InputMemory, clock: Clock, may_predate_accept: bool
+        self, sock: socket.socket, memory: MemoryAccount, clock: Clock, may_predate_accept: bool
     ) -> None:
         self.inbox = ReceiveBuffer(MAX_COMMAND_BYTES)
         self.incomplete_since: int | None = None  # since when a command has been incomplete
         self._sock = sock
         self._memory = memory
+        self._memory_share = MemoryShare(memory)
         self._clock = clock
         self._may_predate_accept = may_predate_accept
         self._arrivals = ArrivalTimes()
-        self._accounted_bytes = 0
         self._earliest_arrival_at: int | None = None  # earliest possible arrival of bytes not yet received
 
     def receive(self) -> int:
@@ -131,6 +116,4 @@
         self._account()
 
     def _account(self) -> None:
-        size = len(self.inbox.data)
-        self._memory.used_bytes += size - self._accounted_bytes
-        self._accounted_bytes = size
+        self._memory_share.set(len(self.inbox.data))
--- a/tests/listeners/test_resp_memory.py
+++ b/tests/listeners/test_resp_memory.py
@@ -4,9 +4,12 @@
 import tracemalloc
 from functools import partial
 
+import anyio
 import pytest
 
-from tests.support.commands import read_command, write_command
+from runloft.core.model import Served
+from runloft.listeners.resp.limits import COMMAND_BURST, MAX_ECHO_BYTES, MAX_UNWRITTEN_BYTES
+from tests.support.commands import PING, PONG, read_command, resp_array, write_command
 from tests.support.listener_harness import RespHarness, run_with_listener
 
 HALF_A_COMMAND = write_command(64 << 10)[: 48 << 10]
@@ -70,3 +73,62 @@
             sock.close()
 
     run_with_listener(RespHarness, scenario)
+
+
+def test_responses_behind_an_unanswered_request_count_as_unwritten():
+    """Prevents a client from piling up responses that wait for an earlier one without a limit."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(b"".join(read_command(0) for _ in range(12)))
+        await harness.wait_until(lambda: len(harness.received()) == 12)
+        for sink in harness.received()[1:]:
+            sink.answer(Served(b"v" * (MAX_UNWRITTEN_BYTES // 10)))
+        sock.sendall(read_command(0))
+        await harness.wait_until(lambda: harness.listener.paused_clients)
+        assert len(harness.received()) == 12
+        harness.received()[0].answer(Served(b""))
+        await harness.wait_until(lambda: len(harness.received()) == 13)
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
+
+
+def test_responses_of_all_clients_share_the_output_memory():
+    """Prevents hundreds of clients from exceeding the memory limit, each within its own limit."""
+    clients = 10
+    max_bytes = 100_000
+    echo = resp_array(b"PING", b"e" * MAX_ECHO_BYTES)
+
+    async def scenario(harness):
+        harness.listener.output_memory.max_bytes = max_bytes
+        socks = []
+        for _ in range(clients):
+            sock = harness.connect()
+            sock.sendall(read_command(0) + echo * 120)
+            socks.append(sock)
+        await harness.wait_until(lambda: len(harness.listener.paused_clients) == clients)
+        pending = sum(client.pipeline.pending_bytes for client in harness.listener.clients)
+        assert pending <= max_bytes + clients * COMMAND_BURST * 2 * MAX_ECHO_BYTES
+        for sink in harness.received():
+            sink.answer(Served(b""))
+        await harness.wait_until(lambda: not any(client.pipeline for client in harness.listener.clients))
+        assert not harness.listener.output_memory.used_bytes
+        for sock in socks:
+            sock.close()
+
+    run_with_listener(RespHarness, scenario)
+
+
+def test_a_ping_with_a_long_message_is_rejected():
+    """Prevents responses of the maximum size that cost the client nothing but their request."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(resp_array(b"PING", b"e" * (MAX_ECHO_BYTES + 1)) + PING)
+        await harness.wait_until(lambda: all(client.has_sent_command for client in harness.listener.clients))
+        response = await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert response == b"-ERR message too long\r\n" + PONG
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from tests.support.commands import REQUEST_IDS, write_command
+from tests.support.commands import REQUEST_IDS, resp_array, write_command
 from tests.support.standins import Discovery, Program, RespNode, config, entry
 
 CLIENTS = 240
@@ -22,7 +22,15 @@
     return b"".join(large_write() for _ in range(10))
 
 
-RESP_INPUTS = {"many large writes": many_large_writes}
+def echoes_behind_a_request(_):
+    """A request that is not answered for a while, and commands whose responses have to wait for it."""
+    return large_write() + resp_array(b"PING", b"e" * VALUE_BYTES) * 10
+
+
+RESP_INPUTS = {
+    "many large writes": many_large_writes,
+    "echoes behind a request": echoes_behind_a_request,
+}
 
 
 @pytest.fixture
