Free the body of a failed request once it is answered

Here: the bodies of requests over HTTP that fail live on after their share of the budget is given back.

Cause: RequestForwarder._exchange keeps the failure in a local variable and raises it; its traceback refers to the frame, which refers to the failure and to the request. Only a collection of cycles freed them. The writer's reference to its connection closed a second cycle, which kept the parser's buffer of each closed connection.

Fix: the local variable is dropped before the exception leaves the frame, and the writer's reference is weak.

Test: tests/listeners/test_object_limits.py, failed before.

--- a/runloft/listeners/objects/forwarding.py
+++ b/runloft/listeners/objects/forwarding.py
@@ -99,8 +99,11 @@
             # The exchange ended without a final reply: have the core cancel its attempts.
             if exchange.reply is None:
                 self._services.post(ClientDisconnected(exchange))
-        if failure:
-            raise failure
+        try:
+            if failure:
+                raise failure
+        finally:
+            failure = None  # its traceback refers to this frame: the cycle would keep the request's body
         if self._has_disconnected:
             raise ConnectionResetError("client disconnected before the end of its response")
 
--- a/runloft/listeners/objects/writing.py
+++ b/runloft/listeners/objects/writing.py
@@ -3,6 +3,7 @@
 import contextlib
 import math
 import socket
+import weakref
 from xml.sax.saxutils import escape
 
 import anyio
@@ -40,7 +41,8 @@
         self, connection: ClientConnection, protocol: h11.Connection, services: ListenerServices
     ) -> None:
         self.request_method = b""  # of the request that is being answered
-        self._connection = connection
+        # A weak reference, so that a closed connection's memory is free without a garbage collection.
+        self._connection = weakref.proxy(connection)
         self._protocol = protocol
         self._services = services
 
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -1,8 +1,13 @@
 """Limits of the object API on what one connection may make the process hold."""
 
+import gc
+import tracemalloc
+
 import anyio
 import pytest
 
+from runloft.core.model import Failed
+from runloft.decisions.contract import AttemptOutcome
 from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES
 from tests.support.listener_harness import ObjectHarness, run_with_listener
 
@@ -43,3 +48,34 @@
         sock.close()
 
     run_with_listener(ObjectHarness, scenario)
+
+
+def test_the_body_of_a_failed_request_is_free_once_it_is_answered():
+    """Prevents bodies of failed requests from exceeding the memory limit until the next garbage collection."""
+    body = b"b" * 200_000
+    requests = 10
+
+    async def scenario(harness):
+        tracemalloc.start()
+        for _ in range(requests):
+            sock, client = harness.connect()
+            sock.sendall(
+                b"PUT /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body)
+            )
+            await anyio.to_thread.run_sync(sock.sendall, body)
+            await harness.wait_until(harness.received)
+            harness.received()[0].answer(Failed(AttemptOutcome.RESET))
+            harness.posted.clear()
+            await harness.wait_until(lambda client=client: not client.is_serving)
+            sock.close()
+        await harness.wait_until(lambda: not harness.listener.clients)
+        in_use, _ = tracemalloc.get_traced_memory()
+        tracemalloc.stop()
+        assert in_use < requests * len(body) / 2
+
+    gc.collect()
+    gc.disable()
+    try:
+        run_with_listener(ObjectHarness, scenario)
+    finally:
+        gc.enable()
