--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -51,7 +51,7 @@
 
 
 def test_the_body_of_a_failed_request_is_free_once_it_is_answered():
-    """Prevents bodies of failed requests from exceeding the memory limit until the next garbage collection."""
+    """Prevents bodies of failed requests from exceeding the memory limit until a garbage collection."""
     body = b"b" * 200_000
     requests = 10
 
