Yield to other clients while a connection always has input

Here, one flooding connection for 5 s: with PINGs of 300 bytes, other clients' PINGs took up to 2.6 s and their reads got no answer in 4 s; with requests for unknown volumes, uploads or routes over HTTP up to 3.8 s, and no answer in 4 s.

Cause: a connection gave way only after a burst of 16 commands from one buffer, or when its socket was empty. A buffer of 4 KiB holds fewer than 16 commands of 300 bytes, and a read that finds input doesn't suspend its task. Requests over HTTP that are answered without the store or a node never suspended it at all.

Evidence: with commands of 14 bytes, where a burst ends within the buffer, other clients waited for 8 ms at most; with invalid requests that count as errors, which are slowed down by a pause, for 6 ms. So the cost of a request and the writes are excluded.

Fix: a read of commands that did not have to wait is followed by a yield before the next one; over HTTP each response is. So every connection gets its turn in each iteration of the event loop.

--- a/runloft/listeners/objects/connection.py
+++ b/runloft/listeners/objects/connection.py
@@ -91,6 +91,8 @@
             seconds = slowdown_s(self.errors)
             if seconds:  # repeated invalid requests must not delay other clients
                 await pause(self.services.timers, self.services.clock, seconds)
+            else:  # nor must a flood of requests that are answered without waiting for anything
+                await anyio.sleep(0)
 
     async def _serve_one(self) -> bool:
         """Serve one request; return whether the connection can be reused."""
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -34,6 +34,8 @@
 class RespClient(ClientLifetime):
     """A client connection of the platform's protocol."""
 
+    _must_yield = False  # whether the last read did not have to wait for input
+
     async def run(self) -> None:
         """Serve commands until the client disconnects, breaks the protocol or exceeds a timeout."""
         try:
@@ -61,13 +63,20 @@
                 return
 
     async def _receive(self) -> bool:
-        """Wait for input and read once; return False at the end of the stream."""
+        """Wait for input and read once; return False at the end of the stream.
+
+        While the socket always holds input, every second read yields, so that other clients are served.
+        """
+        if self._must_yield:
+            await anyio.sleep(0)
+        self._must_yield = True
         while True:
             try:
                 received = self.reader.receive()
             except BlockingIOError:
                 self.reader.shrink()
                 await anyio.wait_readable(self.sock)
+                self._must_yield = False
                 continue
             self.listener.enforce_input_memory_limit()
             return received > 0
