Count what was read ahead before, so that pipelined requests can't pile up

Cause: while a request is being served, RequestReader.wait_for_disconnect reads up to 64 KiB ahead, so that it sees the client's close. It counted from zero for each request, so each answered request added up to 64 KiB to the parser's buffer and took its own hundred bytes from it.

Fix: the limit is for what is unparsed in all. All connections share a sixteenth of the spare memory for it.

Test: tests/listeners/test_object_limits.py, failed before.

--- a/runloft/listeners/objects/limits.py
+++ b/runloft/listeners/objects/limits.py
@@ -3,6 +3,7 @@
 MAX_HEAD_BYTES = 16 << 10
 MAX_HEAD_LINES = 100  # a parsed field takes many times the memory of its bytes
 MAX_READ_AHEAD_BYTES = 64 << 10  # while a request is being served; further input waits in the socket
+READ_AHEAD_MEMORY_DIVISOR = 16  # spare memory divided by this: limit for all that is read ahead
 BODY_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for all bodies; others wait in sockets
 
 HEAD_TIMEOUT_S = 2.6  # for a complete head, from connecting or from its first byte
--- a/runloft/listeners/objects/listener.py
+++ b/runloft/listeners/objects/listener.py
@@ -12,7 +12,11 @@
 from runloft.listeners.accepting import RECENT_ACTIVITY_NS, ListenerBase
 from runloft.listeners.connection import ClientConnection
 from runloft.listeners.objects.connection import ObjectClient
-from runloft.listeners.objects.limits import BODY_MEMORY_DIVISOR
+from runloft.listeners.objects.limits import (
+    BODY_MEMORY_DIVISOR,
+    MAX_READ_AHEAD_BYTES,
+    READ_AHEAD_MEMORY_DIVISOR,
+)
 from runloft.listeners.objects.placement import PlacementDirectory
 from runloft.listeners.objects.translation import RequestTranslator
 from runloft.net.memory_budget import MemoryBudget
@@ -42,6 +46,7 @@
     def configure(self, config: Config) -> None:
         """Apply the volumes, classes and limits of this configuration."""
         super().configure(config)
+        self._read_ahead_budget = config.spare_bytes // READ_AHEAD_MEMORY_DIVISOR
         if config.objects:
             self.translator = RequestTranslator(config, config.objects)
             self.max_body_bytes = config.objects.max_body
@@ -51,6 +56,10 @@
         """Return the connection that serves an accepted socket."""
         return ObjectClient(self, sock)
 
+    def max_read_ahead_bytes(self) -> int:
+        """Return how much of a connection's input may be read while one of its requests is being served."""
+        return min(MAX_READ_AHEAD_BYTES, self._read_ahead_budget // max(1, len(self.clients)))
+
     def forget(self, client: ClientConnection) -> None:
         """Remove a closed connection."""
         self.clients.discard(client)
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -90,19 +90,18 @@
 
     async def wait_for_disconnect(self) -> None:
         """Read ahead while a request is being served, and return once the client has disconnected."""
-        received = 0
         try:
-            while received < MAX_READ_AHEAD_BYTES:
+            # What an earlier request's wait has read ahead counts as well.
+            while (space := self._services.max_read_ahead_bytes() - self.unparsed_bytes()) > 0:
                 await anyio.wait_readable(self._sock)
                 try:
-                    data = self._sock.recv(MAX_READ_AHEAD_BYTES - received)
+                    data = self._sock.recv(space)
                 except BlockingIOError:
                     continue
                 if not data:
-                    break
+                    return
                 self._protocol.receive_data(data)
-                received += len(data)
-            while received >= MAX_READ_AHEAD_BYTES and not has_half_closed(self._sock):
+            while not has_half_closed(self._sock):
                 # Nothing more is read: without polling, requests of a disconnected client would be forwarded.
                 await pause(self._services.timers, self._services.clock, DISCONNECT_POLL_INTERVAL_S)
         except (OSError, h11.ProtocolError, anyio.ClosedResourceError):
--- a/runloft/listeners/objects/services.py
+++ b/runloft/listeners/objects/services.py
@@ -28,5 +28,8 @@
     def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
         """Raise TimeoutError if the body of the ``with`` statement takes longer."""
 
+    def max_read_ahead_bytes(self) -> int:
+        """Return how much of a connection's input may be read while one of its requests is being served."""
+
     def forget(self, client: ClientConnection) -> None:
         """Remove a closed connection."""
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -1,5 +1,6 @@
 """Limits of the object API on what one connection may make the process hold."""
 
+import contextlib
 import gc
 import tracemalloc
 
@@ -8,8 +9,8 @@
 
 from runloft.core.model import Failed
 from runloft.decisions.contract import AttemptOutcome
-from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES
-from tests.support.listener_harness import ObjectHarness, run_with_listener
+from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_READ_AHEAD_BYTES
+from tests.support.listener_harness import OBJECT_REQUEST, ObjectHarness, run_with_listener
 
 REQUEST_LINE = b"GET /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n"
 
@@ -79,3 +80,28 @@
         run_with_listener(ObjectHarness, scenario)
     finally:
         gc.enable()
+
+
+def test_input_behind_a_request_is_not_read_ahead_again_for_each_request():
+    """Prevents a client that sends small requests at full speed from making memory grow without end."""
+    requests = 20
+    behind = OBJECT_REQUEST * (4 * MAX_READ_AHEAD_BYTES // len(OBJECT_REQUEST))
+
+    async def scenario(harness):
+        sock, client = harness.connect()
+        sock.setblocking(False)
+        unsent = memoryview(behind)
+        for _ in range(requests):
+            with contextlib.suppress(BlockingIOError):
+                while unsent:
+                    unsent = unsent[sock.send(unsent) :]
+            await harness.wait_until(harness.received)
+            (exchange,) = harness.received()
+            harness.posted.clear()
+            for _ in range(50):
+                await anyio.sleep(0)  # the wait for a disconnect reads as much as it may
+            assert client.reader.unparsed_bytes() <= MAX_READ_AHEAD_BYTES + MAX_HEAD_BYTES
+            exchange.answer(Failed(AttemptOutcome.RESET))
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
