Read further ahead, to see a close behind many unread commands

Here: a client pipelines 300 KB to 1.5 MB of reads, the first of which waits for a silent node, and closes at once: 117 of 128 attempts began more than 0.1 s after the close, the last one 0.68 s after.

Cause: behind a full pipeline a connection is read ahead until its buffer has the size of the longest command, 72 KiB. What is left stays in the sockets' buffers, and the end of the stream behind it, which no poll shows then.

Evidence: with 20 and 100 KB, which fit the buffer and the socket, no attempt was late; with the first request answered soon, the client's reset of the response showed the close, and none was late either.

Fix: what is read ahead is limited by 4 MiB and by half of the input memory of all connections, as before, in place of the size of one command. Buffers grow by 256 KiB at most, so the account stays exact.

Test: tests/listeners/test_resp_closing.py, failed before.

--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -9,6 +9,7 @@
 RESPONSE_BYTES = 512  # memory of a pipelined response besides its content
 MAX_ECHO_BYTES = 1024  # of a PING's message
 MAX_COMMAND_BYTES = 72 << 10
+MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection; a close behind more input than this is not seen
 MAX_ERRORS = 24  # in a row on one connection; the next error closes it
 
 INPUT_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for the receive buffers of all clients
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -2,7 +2,7 @@
 
 import socket
 
-from runloft.listeners.resp.limits import MAX_COMMAND_BYTES
+from runloft.listeners.resp.limits import MAX_COMMAND_BYTES, MAX_READ_AHEAD_BYTES
 from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
 from runloft.net import resp2
 from runloft.net.buffers import ArrivalTimes, ReceiveBuffer
@@ -63,10 +63,12 @@
         return count
 
     def read_ahead(self) -> bool:
-        """Read while commands are not processed, to record arrival times; return False at the stream's end.
+        """Read while commands are not processed; return False at the stream's end.
 
+        This records arrival times, and shows the client's close even behind many commands.
         Input that does not fit stays in the socket and counts as arrived when the space ran out.
         """
+        self.inbox.limit = MAX_READ_AHEAD_BYTES
         try:
             while True:
                 if self.inbox.is_full() or self._memory.is_half_used():
@@ -79,6 +81,8 @@
             return True
         except OSError:
             return False
+        finally:
+            self.inbox.limit = MAX_COMMAND_BYTES
 
     def next_command(self) -> list[bytes] | None:
         """Return the words of the next complete command, or None; raise RespError on a protocol error."""
--- a/runloft/net/buffers.py
+++ b/runloft/net/buffers.py
@@ -6,6 +6,7 @@
 
 MAX_CHUNKS_PER_WRITE = 64
 MIN_GROWTH_BYTES = 4096
+MAX_GROWTH_BYTES = 256 << 10
 
 
 class ReceiveBuffer:
@@ -32,7 +33,8 @@
         if self.end == len(self.data):
             if self.end >= self.limit:
                 raise BufferError(f"message exceeds the receive buffer's limit of {self.limit} bytes")
-            self.data.extend(bytes(min(max(MIN_GROWTH_BYTES, len(self.data) * 3), self.limit - self.end)))
+            growth = min(max(MIN_GROWTH_BYTES, len(self.data) * 3), MAX_GROWTH_BYTES)
+            self.data.extend(bytes(min(growth, self.limit - self.end)))
         with memoryview(self.data) as view:
             count = sock.recv_into(view[self.end :])
         self.end += count
--- a/tests/listeners/test_resp_closing.py
+++ b/tests/listeners/test_resp_closing.py
@@ -6,6 +6,7 @@
 import pytest
 
 from runloft.core.model import Served
+from runloft.listeners.connection import DISCONNECT_POLL_INTERVAL_S
 from runloft.listeners.resp.limits import IDLE_TIMEOUT_NS, LINGER_NS, MAX_PIPELINED
 from runloft.net.connecting import new_client_socket
 from tests.support.commands import BUSY, OK, PING, PONG, QUIT, UNKNOWN_COMMAND, read_command
@@ -327,3 +328,20 @@
         sock.close()
 
     run_with_listener(RespHarness, scenario)
+
+
+def test_a_close_behind_many_unread_commands_is_noticed():
+    """Prevents requests from being forwarded after their client has closed with much of its input unread."""
+    unread = b"".join(read_command(0) for _ in range(5000))  # about 0.7 MB
+
+    async def scenario(harness):
+        sock = harness.connect()
+        await anyio.to_thread.run_sync(sock.sendall, unread)
+        await harness.wait_until(lambda: len(harness.received()) == MAX_PIPELINED)
+        await harness.wait_until(lambda: harness.listener.paused_clients)
+        sock.close()
+        for _ in range(2):  # one poll reads ahead, the next one at the latest sees the end
+            harness.advance(DISCONNECT_POLL_INTERVAL_S * 1000 + 1)
+        assert harness.disconnected() == harness.received()
+
+    run_with_listener(RespHarness, scenario)
