Reserve a client's id for as long as a node may still execute its request

Here: a client leaves while a node works on its request; the same id 2.1 s or 3.5 s later is forwarded and runs beside or after the first one. Within 2 s it is refused.

Cause: an id is reserved for 2 s from the release of its request, and a request whose client leaves is released as soon as its attempt is called off. The node need not stop; it was told that the request has its whole time.

Fix: the id of a request that was sent and not served is reserved until 2 s after its deadline; such ids and those of served requests are limited apart, each to four times the requests that may be open.

--- a/runloft/core/client_ids.py
+++ b/runloft/core/client_ids.py
@@ -1,13 +1,13 @@
 """Client-chosen request ids, which must be unique among the requests of one protocol.
 
 An id stays reserved for a while after its request is released, because a node would deduplicate a second
-request with the same id against the first.
+request with the same id against the first, or execute it beside the first.
 """
 
-from collections import deque
+import heapq
 from typing import NamedTuple
 
-RETENTION_NS = 2_000_000_000  # how long the id of a released request stays reserved
+RETENTION_NS = 2_000_000_000  # how long an id stays reserved after its request can't be executed any more
 
 
 class ClientRequestId(NamedTuple):
@@ -17,19 +17,25 @@
     id: bytes
 
 
-class _ReleasedId(NamedTuple):
-    """The id of a released request, with the time of its release."""
+class _Reservation(NamedTuple):
+    """The id of a released request, with the time until which it is reserved."""
 
-    released_at: int
+    expires_at: int
     client_id: ClientRequestId
 
 
 class ClientRequestIds:
-    """The ids of pending and of recently released requests."""
+    """The ids of pending and of recently released requests.
+
+    Requests that were served and requests that a node may still execute are limited separately, so that a
+    flood of served requests doesn't end the reservations of the others.
+    """
 
     def __init__(self) -> None:
         self._known: set[ClientRequestId] = set()
-        self._released: deque[_ReleasedId] = deque()
+        # Heaps, the reservation that expires first at the front.
+        self._served: list[_Reservation] = []
+        self._may_be_executed: list[_Reservation] = []
 
     def __len__(self) -> int:
         return len(self._known)
@@ -41,12 +47,19 @@
         """Record the id of an admitted request."""
         self._known.add(client_id)
 
-    def release(self, client_id: ClientRequestId, now: int) -> None:
-        """Record the release of a request; its id stays reserved for ``RETENTION_NS``."""
-        self._released.append(_ReleasedId(now, client_id))
+    def release(self, client_id: ClientRequestId, now: int, may_be_executed_until: int | None) -> None:
+        """Record the release of a request; its id stays reserved for ``RETENTION_NS``.
+
+        If a node may still execute the request, the time counts from ``may_be_executed_until``.
+        """
+        if may_be_executed_until is None:
+            heapq.heappush(self._served, _Reservation(now + RETENTION_NS, client_id))
+        else:
+            expires_at = max(now, may_be_executed_until) + RETENTION_NS
+            heapq.heappush(self._may_be_executed, _Reservation(expires_at, client_id))
 
     def expire(self, now: int, max_released: int) -> None:
-        """Remove released ids older than ``RETENTION_NS``, and the oldest beyond ``max_released``."""
-        released = self._released
-        while released and (released[0].released_at < now - RETENTION_NS or len(released) > max_released):
-            self._known.discard(released.popleft().client_id)
+        """Remove the reservations that have expired, and the first to expire beyond ``max_released`` each."""
+        for reservations in (self._served, self._may_be_executed):
+            while reservations and (reservations[0].expires_at < now or len(reservations) > max_released):
+                self._known.discard(heapq.heappop(reservations).client_id)
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -70,6 +70,8 @@
 from runloft.decisions.contract import Settings
 from runloft.decisions.scheduler import Scheduler
 
+RELEASED_IDS_PER_REQUEST = 4  # released ids that are kept per request that may be open
+
 
 class Core:
     """The state of one scheduler host; times are nanoseconds on its own clock."""
@@ -168,7 +170,7 @@
         """Apply the events, call the scheduler at most once, and return the effects to carry out in order."""
         context = self._context
         context.begin_step(now)
-        self._requests.client_ids.expire(now, context.bounds.requests)
+        self._requests.client_ids.expire(now, RELEASED_IDS_PER_REQUEST * context.bounds.requests)
         for event in events:
             self._apply(event)
         for item in self.timers.pop_due(now):
--- a/runloft/core/requests.py
+++ b/runloft/core/requests.py
@@ -107,7 +107,10 @@
             return
         del self.pending[request.id]
         payload = request.spec.payload
-        self.client_ids.release(ClientRequestId(payload.protocol, request.spec.id), self._context.now)
+        client_id = ClientRequestId(payload.protocol, request.spec.id)
+        was_served = request.last_outcome is AttemptOutcome.OK
+        may_be_executed = request.attempt_count > 0 and not was_served
+        self.client_ids.release(client_id, self._context.now, request.deadline if may_be_executed else None)
         usage = self.usage[payload.protocol]
         usage.open_requests -= 1
         usage.buffered_bytes -= payload.buffered_bytes
