Read further ahead over HTTP too, outside the parser's buffer

Cause: RequestReader.wait_for_disconnect stopped at 64 KiB, and then asked whether the connection is half closed, which the unread input hides.

Evidence: a test with 0.5 MB behind a request: the client's close is not reported at all before, and at once after.

They wait in a queue outside h11, which copies its buffer for each look at it.

Test: tests/listeners/test_object_closing.py, failed before. The test of the piled up input states its own limit of 64 KiB now, so it stays as strict as it was.

--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -2,6 +2,7 @@
 
 import re
 import socket
+from collections import deque
 
 import anyio
 import h11
@@ -12,9 +13,10 @@
     BODY_TIMEOUT_S,
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
+    MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEAD_LINES,
-    MAX_READ_AHEAD_BYTES,
+    MAX_READ_BYTES,
 )
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.writing import ResponseWriter
@@ -38,10 +40,12 @@
         self._protocol = protocol
         self._writer = writer
         self._services = services
+        self._read_ahead: deque[bytes] = deque()  # received while a request was served, for the parser
+        self._read_ahead_bytes = 0
 
     def unparsed_bytes(self) -> int:
         """Return how many bytes have been received but not parsed."""
-        return len(self._protocol.trailing_data[0])
+        return len(self._protocol.trailing_data[0]) + self._read_ahead_bytes
 
     async def read_head(self, is_first: bool) -> ReadEvent:
         """Wait for a request's head; bytes of an incomplete head do not extend the timeout.
@@ -82,7 +86,7 @@
         if self._protocol.they_are_waiting_for_100_continue:
             return
         discarded = 0
-        while self._protocol.their_state is h11.SEND_BODY and discarded < MAX_READ_AHEAD_BYTES:
+        while self._protocol.their_state is h11.SEND_BODY and discarded < MAX_DISCARDED_BYTES:
             event = await self._next_event(BODY_TIMEOUT_S)
             if not isinstance(event, h11.Data):
                 return
@@ -95,12 +99,13 @@
             while (space := self._services.max_read_ahead_bytes() - self.unparsed_bytes()) > 0:
                 await anyio.wait_readable(self._sock)
                 try:
-                    data = self._sock.recv(space)
+                    data = self._sock.recv(min(space, MAX_READ_BYTES))
                 except BlockingIOError:
                     continue
                 if not data:
                     return
-                self._protocol.receive_data(data)
+                self._read_ahead.append(data)
+                self._read_ahead_bytes += len(data)
             while not has_half_closed(self._sock):
                 # Nothing more is read: without polling, requests of a disconnected client would be forwarded.
                 await pause(self._services.timers, self._services.clock, DISCONNECT_POLL_INTERVAL_S)
@@ -113,13 +118,21 @@
                 if self._protocol.they_are_waiting_for_100_continue:
                     await self._writer.write(h11.InformationalResponse(status_code=100, headers=[]))
                 try:
-                    data = self._sock.recv(MAX_HEAD_BYTES)
+                    data = self._next_input()
                 except BlockingIOError:
                     await anyio.wait_readable(self._sock)
                     continue
                 self._protocol.receive_data(data)
         return event
 
+    def _next_input(self) -> bytes:
+        """Return what was read ahead, or read once; raise BlockingIOError if there is no input."""
+        if not self._read_ahead:
+            return self._sock.recv(MAX_HEAD_BYTES)
+        data = self._read_ahead.popleft()
+        self._read_ahead_bytes -= len(data)
+        return data
+
     def _parse_event(self) -> ReadEvent:
         """Return the next event of the received bytes; raise ObjectApiError if a head has too many lines."""
         if self._protocol.their_state is h11.IDLE:
--- a/tests/listeners/test_object_closing.py
+++ b/tests/listeners/test_object_closing.py
@@ -137,3 +137,18 @@
             await harness.wait_until(lambda: client.closed)
 
     run_with_listener(ObjectHarness, scenario)
+
+
+def test_a_close_behind_much_unread_input_is_noticed():
+    """Prevents further attempts for a client that has closed with much of its input unread."""
+    unread = OBJECT_REQUEST * 10_000  # about 0.5 MB
+
+    async def scenario(harness):
+        sock, _ = harness.connect()
+        await anyio.to_thread.run_sync(sock.sendall, unread)
+        await harness.wait_until(harness.received)
+        sock.close()
+        await harness.wait_until(harness.disconnected)
+        assert harness.disconnected() == harness.received()
+
+    run_with_listener(ObjectHarness, scenario)
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -9,7 +9,7 @@
 
 from runloft.core.model import Failed
 from runloft.decisions.contract import AttemptOutcome
-from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES, MAX_READ_AHEAD_BYTES
+from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES
 from tests.support.listener_harness import OBJECT_REQUEST, ObjectHarness, run_with_listener
 
 REQUEST_LINE = b"GET /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n"
@@ -85,9 +85,11 @@
 def test_input_behind_a_request_is_not_read_ahead_again_for_each_request():
     """Prevents a client that sends small requests at full speed from making memory grow without end."""
     requests = 20
-    behind = OBJECT_REQUEST * (4 * MAX_READ_AHEAD_BYTES // len(OBJECT_REQUEST))
+    max_bytes = 64 << 10
+    behind = OBJECT_REQUEST * (4 * max_bytes // len(OBJECT_REQUEST))
 
     async def scenario(harness):
+        harness.listener.max_read_ahead_bytes = lambda: max_bytes
         sock, client = harness.connect()
         sock.setblocking(False)
         unsent = memoryview(behind)
@@ -100,7 +102,7 @@
             harness.posted.clear()
             for _ in range(50):
                 await anyio.sleep(0)  # the wait for a disconnect reads as much as it may
-            assert client.reader.unparsed_bytes() <= MAX_READ_AHEAD_BYTES + MAX_HEAD_BYTES
+            assert client.reader.unparsed_bytes() <= max_bytes + MAX_HEAD_BYTES
             exchange.answer(Failed(AttemptOutcome.RESET))
         sock.close()
 
