Let short commands pass the requests that wait for the core

Counting less for each pipelined response changed nothing, so that account is excluded.

Change: the first command that a connection processes in an iteration passes if it has at most 4 KiB of input.

Test: tests/listeners/test_resp_memory.py, failed before.

--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -21,6 +21,7 @@
     MAX_ECHO_BYTES,
     MAX_ERRORS,
     MAX_PIPELINED,
+    MAX_SHORT_COMMAND_BYTES,
     SHUTDOWN_LINGER_NS,
 )
 from runloft.listeners.resp.pipelining import PipelinedResponse
@@ -85,7 +86,7 @@
         """Process up to ``COMMAND_BURST`` commands; return whether the buffer may hold more complete ones."""
         reader = self.reader
         processed = 0
-        while processed < COMMAND_BURST and self._may_process():
+        while processed < COMMAND_BURST and self._may_process(is_first=processed == 0):
             try:
                 words = reader.next_command()
             except resp2.RespError as error:
@@ -103,9 +104,15 @@
                 self._execute(words, arrived_at)
         return not self.is_closing
 
-    def _may_process(self) -> bool:
-        """Return whether another command may be processed in this event-loop iteration."""
-        return len(self.pipeline) < MAX_PIPELINED and not self.is_closing and self.listener.may_post()
+    def _may_process(self, is_first: bool) -> bool:
+        """Return whether another command may be processed in this event-loop iteration.
+
+        The first short one always may, so that connections with much input don't hold back the others.
+        """
+        if len(self.pipeline) >= MAX_PIPELINED or self.is_closing:
+            return False
+        is_short = self.reader.unparsed_bytes() <= MAX_SHORT_COMMAND_BYTES
+        return (is_first and is_short) or self.listener.may_post()
 
     def _record_incomplete_command(self) -> None:
         """Record since when a command is incomplete; bytes that arrive later do not reset the time."""
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -7,6 +7,7 @@
     2  # an even share of the output memory, divided by this, is left when half of it is used
 )
 RESPONSE_BYTES = 512  # memory of a pipelined response besides its content
+MAX_SHORT_COMMAND_BYTES = 4 << 10  # of input; such a command need not wait for the core
 MAX_ECHO_BYTES = 1024  # of a PING's message
 MAX_COMMAND_BYTES = 72 << 10
 MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection; a close behind more input than this is not seen
--- a/tests/listeners/test_resp_memory.py
+++ b/tests/listeners/test_resp_memory.py
@@ -132,3 +132,23 @@
         sock.close()
 
     run_with_listener(RespHarness, scenario)
+
+
+def test_a_short_command_does_not_wait_for_requests_that_the_core_has_not_seen():
+    """Prevents connections with much input from holding back the commands of all others."""
+
+    async def scenario(harness):
+        queued_bytes = 1 << 40
+        harness.listener._queued_request_bytes = lambda: queued_bytes
+        large, short = harness.connect(), harness.connect()
+        large.sendall(write_command(64 << 10))
+        short.sendall(PING)
+        with anyio.fail_after(5):
+            assert await anyio.to_thread.run_sync(short.recv, 100) == PONG
+        assert not harness.received()
+        queued_bytes = 0
+        await harness.wait_until(harness.received)
+        large.close()
+        short.close()
+
+    run_with_listener(RespHarness, scenario)
