--- a/runloft/decisions/attempt_results.py
+++ b/runloft/decisions/attempt_results.py
@@ -89,11 +89,7 @@
         if now + self._state.settings.tick_ns >= request.deadline:
             return True
         is_large_fleet = self._state.is_large_fleet
-        if (
-            result.outcome is AttemptOutcome.TIMEOUT
-            and is_large_fleet
-            and request.request_class.is_safe_to_shed
-        ):
+        if result.outcome is AttemptOutcome.TIMEOUT and is_large_fleet and request.is_safe_to_shed:
             return True
         if not request.has_reached_node and now >= request.queue_deadline:
             return True  # the timer of its queue deadline fired while it was connecting
--- a/runloft/decisions/completion.py
+++ b/runloft/decisions/completion.py
@@ -25,7 +25,7 @@
         """
         was_never_executed = request.ambiguous_since is None and not request.in_flight
         retry_after_ns = (retry_after_s or self._admission.retry_after_s(request, now)) * NS_PER_SECOND
-        if request.request_class.is_safe_to_shed or was_never_executed:
+        if request.is_safe_to_shed or was_never_executed:
             capped_ns = int(min(retry_after_ns, self._state.settings.max_retry_after_ns))
             self._state.actions.append(ShedRequest(request.id, capped_ns))
         else:
--- a/runloft/decisions/dispatch.py
+++ b/runloft/decisions/dispatch.py
@@ -112,7 +112,7 @@
     def _timeout_ns(self, request: TrackedRequest, is_probe: bool, now: int) -> int:
         """Return the timeout of an attempt; 0 means that the client's deadline applies."""
         objective_ns = self._state.objective_ns
-        if request.request_class.is_safe_to_shed and self._state.is_large_fleet:
+        if request.is_safe_to_shed and self._state.is_large_fleet:
             # Late requests sent before an overload was detected would make all requests behind them late.
             return max(request.objective_at - now, objective_ns)
         if is_probe and request.is_preferred_probe:
--- a/runloft/decisions/tracked_request.py
+++ b/runloft/decisions/tracked_request.py
@@ -56,6 +56,11 @@
         """Return whether it may be executed more than once without an idempotency key."""
         return self.request_class.idempotency is Idempotency.IDEMPOTENT
 
+    @property
+    def is_safe_to_shed(self) -> bool:
+        """Return whether a client's retry is harmless even if an attempt was executed."""
+        return self.request_class.is_safe_to_shed
+
     @property
     def is_preferred_probe(self) -> bool:
         """Return whether it is preferred as a probe attempt of an unresponsive node."""
--- a/runloft/listeners/connection.py
+++ b/runloft/listeners/connection.py
@@ -14,6 +14,7 @@
 ERRORS_BEFORE_SLOWDOWN = 4  # in a row on one connection
 SLOWDOWN_S = 0.01  # base of the pause, doubled for each error beyond those
 MAX_SLOWDOWN_S = 0.25
+MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection; a close behind more input than this is not seen
 LINGER_BYTES = 256 << 10  # input that is read and dropped after the last response
 
 
--- a/runloft/listeners/objects/listener.py
+++ b/runloft/listeners/objects/listener.py
@@ -10,13 +10,9 @@
 from runloft.core.model import Event
 from runloft.core.timers import TimerQueue
 from runloft.listeners.accepting import RECENT_ACTIVITY_NS, ListenerBase
-from runloft.listeners.connection import ClientConnection
+from runloft.listeners.connection import MAX_READ_AHEAD_BYTES, ClientConnection
 from runloft.listeners.objects.connection import ObjectClient
-from runloft.listeners.objects.limits import (
-    BODY_MEMORY_DIVISOR,
-    MAX_READ_AHEAD_BYTES,
-    READ_AHEAD_MEMORY_DIVISOR,
-)
+from runloft.listeners.objects.limits import BODY_MEMORY_DIVISOR, READ_AHEAD_MEMORY_DIVISOR
 from runloft.listeners.objects.placement import PlacementDirectory
 from runloft.listeners.objects.translation import RequestTranslator
 from runloft.net.memory_budget import MemoryBudget
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -16,7 +16,6 @@
     MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
     MAX_HEAD_LINES,
-    MAX_READ_BYTES,
 )
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.writing import ResponseWriter
@@ -99,7 +98,7 @@
             while (space := self._services.max_read_ahead_bytes() - self.unparsed_bytes()) > 0:
                 await anyio.wait_readable(self._sock)
                 try:
-                    data = self._sock.recv(min(space, MAX_READ_BYTES))
+                    data = self._sock.recv(min(space, MAX_HEAD_BYTES))
                 except BlockingIOError:
                     continue
                 if not data:
@@ -109,7 +108,7 @@
             while not has_half_closed(self._sock):
                 # Nothing more is read: without polling, requests of a disconnected client would be forwarded.
                 await pause(self._services.timers, self._services.clock, DISCONNECT_POLL_INTERVAL_S)
-        except (OSError, h11.ProtocolError, anyio.ClosedResourceError):
+        except (OSError, anyio.ClosedResourceError):
             pass
 
     async def _next_event(self, timeout_s: float) -> ReadEvent:
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -66,7 +66,7 @@
     async def _receive(self) -> bool:
         """Wait for input and read once; return False at the end of the stream.
 
-        While the socket always holds input, every second read yields, so that other clients are served.
+        A read after one that did not have to wait yields first, so that other clients are served.
         """
         if self._must_yield:
             await anyio.sleep(0)
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -110,6 +110,10 @@
         """Return how many commands have no complete response."""
         return len(self.pipeline.unanswered())
 
+    def unwritten_bytes(self) -> int:
+        """Return the size of the complete responses that the socket has not taken."""
+        return self.writer.outbox.size + self.pipeline.pending_bytes
+
     def has_disconnected(self) -> bool:
         """Return whether the client has disconnected, even with input unread; close the connection if so."""
         if not self.closed and has_half_closed(self.sock):
@@ -155,7 +159,7 @@
         """Return whether the connection may be closed; unread input prevents it."""
         unanswered = self.pipeline.unanswered()
         incomplete_bytes = self.reader.unparsed_bytes()
-        unwritten_bytes = self.writer.outbox.size + self.pipeline.pending_bytes
+        unwritten_bytes = self.unwritten_bytes()
         has_unread = not (unanswered or unwritten_bytes or incomplete_bytes) and self.has_unread_input()
         return (
             permissions.permit_close(reason, unanswered, unwritten_bytes, incomplete_bytes, has_unread)
@@ -209,8 +213,7 @@
 
     def _account_output(self) -> None:
         """Update what this connection's responses use, whether or not they are complete."""
-        used_bytes = self.writer.outbox.size + self.pipeline.pending_bytes
-        self._output_share.set(used_bytes + RESPONSE_BYTES * len(self.pipeline))
+        self._output_share.set(self.unwritten_bytes() + RESPONSE_BYTES * len(self.pipeline))
 
     def _refuse_unprocessed(self) -> None:
         """Answer BUSY to the complete commands that were read but not processed, so that each is answered."""
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -3,14 +3,11 @@
 MAX_PIPELINED = 128  # unanswered commands per connection; further ones wait in the socket
 COMMAND_BURST = 16  # commands of one connection processed in a row before other tasks run
 MAX_UNWRITTEN_BYTES = 512 << 10  # of responses on one connection; above it no further command is processed
-OUTPUT_SHARE_DIVISOR = (
-    2  # an even share of the output memory, divided by this, is left when half of it is used
-)
+OUTPUT_SHARE_DIVISOR = 2  # once half of the output memory is used: part of an even share that is left
 RESPONSE_BYTES = 512  # memory of a pipelined response besides its content
 MAX_SHORT_COMMAND_BYTES = 4 << 10  # of input; such a command need not wait for the core
 MAX_ECHO_BYTES = 1024  # of a PING's message
 MAX_COMMAND_BYTES = 72 << 10
-MAX_READ_AHEAD_BYTES = 4 << 20  # of one connection; a close behind more input than this is not seen
 MAX_ERRORS = 24  # in a row on one connection; the next error closes it
 
 INPUT_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for the receive buffers of all clients
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -113,9 +113,7 @@
 
     def enforce_output_memory_limit(self) -> None:
         """Close clients while unwritten responses exceed their memory limit, the largest first."""
-        unwritten = {
-            client: client.writer.outbox.size + client.pipeline.pending_bytes for client in self.clients
-        }
+        unwritten = {client: client.unwritten_bytes() for client in self.clients}
         while sum(unwritten.values()) > self.output_memory.max_bytes:
             largest = max(unwritten, key=lambda client: unwritten[client])
             del unwritten[largest]
--- a/runloft/listeners/resp/memory.py
+++ b/runloft/listeners/resp/memory.py
@@ -20,13 +20,13 @@
 class MemoryShare:
     """The part of an account that one connection uses."""
 
-    __slots__ = ("_account", "used_bytes")
+    __slots__ = ("account", "used_bytes")
 
     def __init__(self, account: MemoryAccount) -> None:
         self.used_bytes = 0
-        self._account = account
+        self.account = account
 
     def set(self, used_bytes: int) -> None:
         """Set what the connection uses now."""
-        self._account.used_bytes += used_bytes - self.used_bytes
+        self.account.used_bytes += used_bytes - self.used_bytes
         self.used_bytes = used_bytes
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -2,7 +2,8 @@
 
 import socket
 
-from runloft.listeners.resp.limits import MAX_COMMAND_BYTES, MAX_READ_AHEAD_BYTES
+from runloft.listeners.connection import MAX_READ_AHEAD_BYTES
+from runloft.listeners.resp.limits import MAX_COMMAND_BYTES
 from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
 from runloft.net import resp2
 from runloft.net.buffers import ArrivalTimes, ReceiveBuffer
@@ -21,7 +22,6 @@
         "_clock",
         "_earliest_arrival_at",
         "_may_predate_accept",
-        "_memory",
         "_memory_share",
         "_sock",
         "inbox",
@@ -34,7 +34,6 @@
         self.inbox = ReceiveBuffer(MAX_COMMAND_BYTES)
         self.incomplete_since: int | None = None  # since when a command has been incomplete
         self._sock = sock
-        self._memory = memory
         self._memory_share = MemoryShare(memory)
         self._clock = clock
         self._may_predate_accept = may_predate_accept
@@ -71,7 +70,7 @@
         self.inbox.limit = MAX_READ_AHEAD_BYTES
         try:
             while True:
-                if self.inbox.is_full() or self._memory.is_half_used():
+                if self.inbox.is_full() or self._memory_share.account.is_half_used():
                     if self._earliest_arrival_at is None:
                         self._earliest_arrival_at = self._clock()
                     return True
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -1,7 +1,6 @@
 """Limits of the object API on what one connection may make the process hold."""
 
 import contextlib
-import gc
 import tracemalloc
 
 import anyio
@@ -51,7 +50,7 @@
     run_with_listener(ObjectHarness, scenario)
 
 
-def test_the_body_of_a_failed_request_is_free_once_it_is_answered():
+def test_the_body_of_a_failed_request_is_free_once_it_is_answered(no_garbage_collection):
     """Prevents bodies of failed requests from exceeding the memory limit until a garbage collection."""
     body = b"b" * 200_000
     requests = 10
@@ -74,12 +73,7 @@
         tracemalloc.stop()
         assert in_use < requests * len(body) / 2
 
-    gc.collect()
-    gc.disable()
-    try:
-        run_with_listener(ObjectHarness, scenario)
-    finally:
-        gc.enable()
+    run_with_listener(ObjectHarness, scenario)
 
 
 def test_input_behind_a_request_is_not_read_ahead_again_for_each_request():
--- a/tests/listeners/test_resp_memory.py
+++ b/tests/listeners/test_resp_memory.py
@@ -1,11 +1,9 @@
 """Memory of the RESP2 listener's connections."""
 
-import gc
 import tracemalloc
 from functools import partial
 
 import anyio
-import pytest
 
 from runloft.core.model import Served
 from runloft.listeners.resp.limits import COMMAND_BURST, MAX_ECHO_BYTES, MAX_UNWRITTEN_BYTES
@@ -17,15 +15,6 @@
 CLIENTS = 40
 
 
-@pytest.fixture
-def no_garbage_collection():
-    """Let only reference counts free memory, as between two collections."""
-    gc.collect()
-    gc.disable()
-    yield
-    gc.enable()
-
-
 async def connect_all(harness, data, count=CLIENTS):
     """Connect clients that each send ``data``, which ends in half a command, one after the other."""
     socks = []
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -17,12 +17,12 @@
     return write_command(VALUE_BYTES, b"%016x" % next(REQUEST_IDS), DEADLINE_MS)
 
 
-def many_large_writes(_):
+def many_large_writes():
     """Ten writes of the maximum size at once, which the core can't all hold."""
     return b"".join(large_write() for _ in range(10))
 
 
-def echoes_behind_a_request(_):
+def echoes_behind_a_request():
     """A request that is not answered for a while, and commands whose responses have to wait for it."""
     return large_write() + resp_array(b"PING", b"e" * VALUE_BYTES) * 10
 
@@ -62,7 +62,7 @@
 
 
 async def send_from_all(port, make_input):
-    await asyncio.gather(*(send_and_receive(port, make_input(number)) for number in range(CLIENTS)))
+    await asyncio.gather(*(send_and_receive(port, make_input()) for _ in range(CLIENTS)))
 
 
 def peak_mb(program):
