Log the resident size at the start, near the limit and at the exit

Change: the resident size is sampled every 50 ms; it is logged at the start, with the numbers of clients, requests, node connections and timers when it passes 95% of limits.memory_mb, and as the largest one at the exit.

--- a/runloft/service/interfaces.py
+++ b/runloft/service/interfaces.py
@@ -25,6 +25,9 @@
     def abandon(self, attempt: int) -> None:
         """Close an attempt's connection, if it belongs to this upstream."""
 
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+
     def update_nodes(self, nodes: tuple[NodeUpdate, ...]) -> None:
         """Apply changes of the node list."""
 
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -29,6 +29,7 @@
     packages_required_by,
 )
 from runloft.service.interfaces import Configurable, Listener, ListeningEndpoint
+from runloft.service.memory_monitor import MemoryMonitor
 from runloft.service.reload import Reload
 from runloft.service.runner import Runner
 from runloft.service.shutdown import graceful_shutdown
@@ -74,9 +75,16 @@
         agreement = new_agreement(config, clock)
         config = agreement.start()
     runner = Runner(new_core(config, clock, timers), timers, clock, clock.error_ns)
+    server = Server(config, runner, agreement)
     with received_signals() as received:
-        await Server(config, runner, agreement).run(config_path, received, progress)
-    log.info("totals since start", name=config.name, violations=INVARIANTS.totals(), **COUNTERS.totals())
+        await server.run(config_path, received, progress)
+    log.info(
+        "totals since start",
+        name=config.name,
+        violations=INVARIANTS.totals(),
+        **server.memory.totals(),
+        **COUNTERS.totals(),
+    )
     log.info("stopped", name=config.name)
 
 
@@ -127,6 +135,18 @@
         self.endpoints: list[ListeningEndpoint] = []
         self.store: PlacementStore | None = None
         self.admin: AdminServer | None = None
+        self.memory = MemoryMonitor(config.memory_mb, runner.timers, runner.clock, self.state_sizes)
+
+    def state_sizes(self) -> dict[str, int]:
+        """Return the sizes of the state that grows with clients and nodes, as fields of a log line."""
+        runner = self.runner
+        return {
+            "clients": sum(len(endpoint.listener.clients) for endpoint in self.endpoints),
+            "open_requests": len(runner.core.requests),
+            "queued_request_bytes": runner.queued_request_bytes(),
+            "node_connections": sum(pool.open_count() for pool in runner.pools.values()),
+            "timers": len(runner.timers),
+        }
 
     async def run(
         self, config_path: str | None, received: AsyncIterator[signal.Signals], progress: StartProgress
@@ -148,6 +168,7 @@
         if self.config.admin:
             self._open_admin(ListenAddress("admin.listen", *self.config.admin))
         progress.is_complete = True
+        self.memory.start()
         async with self.tasks as tasks:
             tasks.start_soon(self.runner.run)
             tasks.start_soon(watch.run)
--- a/runloft/upstream/pool.py
+++ b/runloft/upstream/pool.py
@@ -148,6 +148,10 @@
 
     # Connections.
 
+    def open_count(self) -> int:
+        """Return the number of open connections."""
+        return len(self.open)
+
     def _take_idle(self, peer: Peer) -> UpstreamConnection | None:
         """Return the most recently used reusable connection, so that surplus ones time out.
 
--- /dev/null
+++ b/tests/service/test_memory_monitor.py
@@ -0,0 +1,43 @@
+"""Sampling of the process's resident size."""
+
+from structlog.testing import capture_logs
+
+from runloft.core.timers import TimerQueue
+from runloft.net.resident_size import resident_bytes
+from runloft.service.memory_monitor import SAMPLE_INTERVAL_NS, MemoryMonitor
+
+MB = 1 << 20
+
+
+def test_the_resident_size_is_that_of_this_process():
+    before = resident_bytes()
+    block = bytearray(b"x") * (8 * MB)
+    assert 7 * MB < resident_bytes() - before < 16 * MB
+    del block
+
+
+def test_a_process_near_its_limit_says_what_uses_its_memory():
+    """Prevents a kill for memory about which the log says nothing."""
+    sizes = iter([20 * MB, 31 * MB, 31 * MB, 20 * MB])
+    timers = TimerQueue()
+    monitor = MemoryMonitor(32, timers, lambda: 0, lambda: {"clients": 7}, lambda: next(sizes))
+    with capture_logs() as logs:
+        monitor.start()
+        for _ in range(3):
+            (callback,) = timers.pop_due(SAMPLE_INTERVAL_NS)
+            callback()
+    assert [line["event"] for line in logs] == [
+        "memory",
+        "memory is near the limit",
+        "memory is no longer near the limit",
+    ]
+    assert logs[1] | {"resident_mb": 31.0, "limit_mb": 32, "clients": 7} == logs[1]
+    assert monitor.totals() == {"largest_resident_mb": 31.0}
+
+
+def test_a_kernel_that_does_not_tell_the_size_stops_nothing():
+    timers = TimerQueue()
+    monitor = MemoryMonitor(32, timers, lambda: 0, dict, lambda: None)
+    monitor.start()
+    assert monitor.sample() is None
+    assert len(timers) == 1
