Show that a crowd takes a process over the least memory limit

runloft lab crowd starts a real process with limits and lets a crowd of one of ten forms make it hold as much as it can, beside ordinary clients.

--- a/runloft/arguments.py
+++ b/runloft/arguments.py
@@ -35,6 +35,7 @@
 
 
 def _add_lab_parser(commands: Subparsers) -> None:
+    from runloft.lab.crowd import options as crowd_options
     from runloft.lab.scale import options as scale_options
     from runloft.lab.soak import options as soak_options
 
@@ -45,6 +46,7 @@
     scale_options.add_parser(actions)
     scale_options.add_capacity_parser(actions)
     soak_options.add_parser(actions)
+    crowd_options.add_parser(actions)
 
 
 def _add_scenario_parser(actions: Subparsers) -> None:
--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -92,6 +92,10 @@
             from runloft.lab.scale import capacity
 
             return capacity.run
+        case "crowd":
+            from runloft.lab.crowd import commands as crowd
+
+            return crowd.run
         case "soak":
             from runloft.lab.soak import commands as soak
 
--- /dev/null
+++ b/runloft/lab/crowd/commands.py
@@ -0,0 +1,72 @@
+"""``runloft lab crowd``: play each combination of its options, and print one line for each."""
+
+import argparse
+import itertools
+import json
+from collections.abc import Iterator
+
+from runloft.config.tool.output import usage_error
+from runloft.lab.crowd.forms import AnswerCounts, CrowdForm
+from runloft.lab.crowd.run import CrowdPlay, CrowdResult, run_play
+
+
+def run(options: argparse.Namespace) -> int:
+    """Play each combination; return 0 if all kept their limits, 2 for invalid options, else 1."""
+    try:
+        plays = list(plays_from(options))
+    except ValueError as error:
+        return usage_error(str(error))
+    results = []
+    for play in plays:
+        result = run_play(play)
+        results.append(result)
+        print(report_line(result), flush=True)
+        if options.output:
+            with open(options.output, "a") as output:
+                output.write(json.dumps(result.document()) + "\n")
+    return 0 if all(has_passed(result) for result in results) else 1
+
+
+def plays_from(options: argparse.Namespace) -> Iterator[CrowdPlay]:
+    """Yield the plays of all combinations; raise ValueError for an invalid option."""
+    forms = [CrowdForm(name) for name in options.forms.split(",") if name] or list(CrowdForm)
+    limits = itertools.product(_numbers(options.memory_mb), _numbers(options.sockets))
+    sizes = itertools.product(limits, _numbers(options.clients))
+    for ((memory_mb, sockets), clients), form in itertools.product(sizes, forms):
+        yield CrowdPlay(
+            form=form,
+            clients=clients,
+            memory_mb=memory_mb,
+            descriptors=sockets,
+            seconds=options.seconds,
+            restart_s=options.restart,
+            reloads=options.reloads,
+        )
+
+
+def _numbers(text: str) -> list[int]:
+    return [int(part) for part in text.split(",")]
+
+
+def has_passed(result: CrowdResult) -> bool:
+    """Return whether a play kept the memory limit, answered each request and ended in time."""
+    unanswered = result.crowd.silent + result.ordinary.silent
+    return result.is_within_limit and not unanswered and result.exit_code == 0 and result.violations == "{}"
+
+
+def report_line(result: CrowdResult) -> str:
+    """Return one line about a play."""
+    play = result.play
+    crowd, ordinary = result.crowd, result.ordinary
+    return (
+        f"{'ok  ' if has_passed(result) else 'FAIL'} {play.form:12} {play.memory_mb:4} MB "
+        f"{play.descriptors:5} descriptors {play.clients:5} clients: "
+        f"start {result.start_mb:5.1f} peak {result.peak_mb:5.1f} MB, "
+        f"{result.max_descriptors} descriptors, crowd {_counts(crowd)}, ordinary {_counts(ordinary)} "
+        f"p99 {result.p99_ms():.0f} ms, exit {result.exit_code}, violations {result.violations}"
+    )
+
+
+def _counts(counts: AnswerCounts) -> str:
+    """Return the served, refused, failed, closed and silent requests."""
+    return f"{counts.served}/{counts.refused}/{counts.failed}/{counts.closed}/{counts.silent}"
--- a/tests/service/test_memory_limit.py
+++ b/tests/service/test_memory_limit.py
@@ -4,6 +4,8 @@
 
 import pytest
 
+from runloft.lab.crowd.forms import CrowdForm
+from runloft.lab.crowd.run import CrowdPlay, run_play
 from tests.support.commands import REQUEST_IDS, resp_array, write_command
 from tests.support.standins import Discovery, Program, RespNode, config, entry
 
@@ -11,6 +13,8 @@
 MEMORY_MB = 64
 VALUE_BYTES = 64 << 10
 DEADLINE_MS = 500
+LEAST_MEMORY_MB = 32  # of the sizes that the program is made for
+CROWD_FORMS = (CrowdForm.CONNECT, CrowdForm.BYTES, CrowdForm.HALF_WRITE, CrowdForm.READS)
 
 
 def large_write():
@@ -78,3 +82,12 @@
     asyncio.run(send_from_all(program.ports["RespListener"], RESP_INPUTS[name]))
     assert program.process.poll() is None
     assert peak_mb(program) <= MEMORY_MB
+
+
+@pytest.mark.parametrize("form", CROWD_FORMS)
+def test_a_crowd_does_not_take_the_process_over_the_least_memory_limit(form):
+    """Guards against kills for memory with many clients, 32 MB and 1,024 descriptors."""
+    result = run_play(CrowdPlay(form, clients=600, memory_mb=LEAST_MEMORY_MB, descriptors=1024, seconds=2.5))
+    assert result.peak_mb <= LEAST_MEMORY_MB
+    assert result.crowd.silent == 0
+    assert (result.exit_code, result.violations) == (0, "{}")
