Remove the timers of a request when it is released

What was seen: 20 clients that send pipelined reads, most of them refused, took a process with 32 MB to 36 MB in 4 s. Evidence: 3 s into the play the timer queue had 13,086 entries, 12,968 of them a scheduler's timers, with a few hundred open requests. Cause: each request sets two timers, which stayed in the queue until its deadline even if it had been refused at once, so that memory grew with the rate of requests. Fix: a request keeps its timers' handles, and its release discards them.

--- a/runloft/core/records.py
+++ b/runloft/core/records.py
@@ -28,6 +28,7 @@
     is_streaming: bool = False
     last_outcome: AttemptOutcome | None = None
     ambiguous_since: int | None = None  # when the first attempt that may have executed was dispatched
+    timers: list[TimerHandle] = field(default_factory=list)  # of the scheduler
 
 
 @dataclass(slots=True, eq=False)
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -270,7 +270,10 @@
         self._requests.finish(request_id, Shed(0, cause) if not_executed else Failed(cause))
 
     def _set_timer(self, at_ns: int, token: int) -> None:
-        self.timers.add(max(at_ns, self._context.now + 1), contract.TimerFired(token))
+        handle = self.timers.add(max(at_ns, self._context.now + 1), contract.TimerFired(token))
+        request = self._requests.pending.get(token)
+        if request is not None:
+            request.timers.append(handle)
 
     def _forget_node(self, node_id: int) -> None:
         was_known = self.endpoints.forget(node_id)
--- a/runloft/core/requests.py
+++ b/runloft/core/requests.py
@@ -106,6 +106,8 @@
         if not request.is_complete or request.in_flight or request.id not in self.pending:
             return
         del self.pending[request.id]
+        for timer in request.timers:
+            self._context.timers.discard(timer)
         payload = request.spec.payload
         client_id = ClientRequestId(payload.protocol, request.spec.id)
         was_served = request.last_outcome is AttemptOutcome.OK
--- a/tests/core/test_request_lifecycle.py
+++ b/tests/core/test_request_lifecycle.py
@@ -18,8 +18,10 @@
     NodeState,
     SendAttempt,
     ShedRequest,
+    Timer,
 )
 from tests.support.core_harness import CoreHarness, FakePayload
+from tests.support.driver import SECOND
 
 
 def test_requests_of_one_protocol_cannot_use_up_the_capacity_of_the_other():
@@ -62,3 +64,14 @@
         responded += [effect.sink for effect in harness.step(after=1) if isinstance(effect, SendResponse)]
     assert len(responded) == len(set(responded)) and set(responded) <= set(sinks)
     assert not harness.core.requests and not harness.core.attempts
+
+
+def test_a_released_request_leaves_no_timers():
+    """Guards against memory that grows with the rate of requests until their deadlines."""
+    harness = CoreHarness()
+    timers_before = len(harness.timers)
+    harness.receive([Timer(harness.now + SECOND, 1), Timer(harness.now + SECOND, 1), ShedRequest(1, 0)])
+    harness.receive([Timer(harness.now + SECOND, 2), SendAttempt(2, 1)])
+    assert len(harness.timers) > timers_before
+    harness.step(AttemptFinished(1, AttemptOutcome.OK, b"v"))
+    assert len(harness.timers) == timers_before
