Look at a socket once before an idle connection is closed

Cause: the socket was looked at twice, by the check and by the close; a byte that arrived between them made the close a violation, although no look can prevent that crossing, and the client sends its request again. Change: close_if_permitted looks once.

--- a/runloft/listeners/connection.py
+++ b/runloft/listeners/connection.py
@@ -61,13 +61,27 @@
         """Return whether the socket holds unread input, which a close would lose."""
         return not nothing_to_read(self.sock)
 
+    def close_if_permitted(self, reason: CloseReason) -> bool:
+        """Close the connection unless a request or input would be lost; return whether it was closed.
+
+        The socket is looked at once: input that arrives between that and the close crosses the close, and the
+        client sends it again.
+        """
+        if self.closed or not self.may_close(reason):
+            return False
+        self._close(reason, loses_input=False)
+        return True
+
     def close(self, reason: CloseReason = CloseReason.FAULT) -> None:
         """Close the connection, count the reason, and report a violation if a request or input is lost."""
         if self.closed:
             return
+        is_caused_here = reason not in permissions.CAUSED_BY_CLIENT
+        self._close(reason, is_caused_here and not self.lingering and self.has_unread_input())
+
+    def _close(self, reason: CloseReason, loses_input: bool) -> None:
         unanswered = self.unanswered_count()
         is_caused_here = reason not in permissions.CAUSED_BY_CLIENT
-        loses_input = is_caused_here and not self.lingering and self.has_unread_input()
         INVARIANTS.check_close(unanswered, loses_input, is_caused_here, **self.log_ids(), reason=str(reason))
         COUNTERS.add(CounterName.CLIENT_CONNECTIONS_CLOSED, reason)
         self.closed = True
--- a/runloft/listeners/objects/connection.py
+++ b/runloft/listeners/objects/connection.py
@@ -66,11 +66,11 @@
         An immediate close could lose the last response: a request that arrives at that moment would turn the
         close into a reset, which discards what the client has not read.
         """
-        if self.lingering or not self.may_close(CloseReason.SHUTDOWN):
+        if self.lingering:
             return
         if self.services.clock() - self.last_activity_at >= LINGER_S * 1e9:
-            self.close(CloseReason.SHUTDOWN)
-        elif not self.reading_scope.cancel_called:
+            self.close_if_permitted(CloseReason.SHUTDOWN)
+        elif self.may_close(CloseReason.SHUTDOWN) and not self.reading_scope.cancel_called:
             self.reading_scope.cancel()
 
     def unanswered_count(self) -> int:
