Bind the process's resident size: measure the program, account for all that grows

Cause: the program was assumed to take 24 MB and takes 27.9 here; a connection of a client or to a node was in no account; the shares of the spare memory add up to 1.35 of it; nothing looked at the resident size.

Change: the program's size is measured at the start and the rest, less 1 MB, is the capacity of one account (ProcessMemory) for connections, input with its arrival times, queued and open requests, reserved ids, responses, bodies, node connections and replies. The resident size is sampled; if it grows beyond the target, the capacity is lowered to what is used then. At the bound idle connections are closed, then commands incomplete for 0.5 s fail, new connections wait in the kernel, and requests get BUSY. A command fails only after the complete ones before it are answered. A limit below the program's own size is told at the start.

--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -14,8 +14,9 @@
 MAX_PORT = 65535
 
 DEFAULT_MEMORY_MB = 192  # default memory limit
-PROGRAM_MB = 24  # used by the program itself; the rest is for requests, bodies and buffers
-MIN_SPARE_MB = 4
+PROGRAM_MB = 24  # used by the program itself, until it is measured at the start
+RESERVED_BYTES = 1 << 20  # for memory that no account counts, such as that of one step of the event loop
+MIN_SPARE_BYTES = 3 << 19
 MAX_OPEN_REQUESTS = 2048
 OPEN_REQUEST_BYTES = 4096  # memory budgeted per open request
 
@@ -96,12 +97,23 @@
     admin: SocketAddress | None = None
     accounted_volumes: int = 0  # volumes with a latency account of their own; 0: no accounts
     suspended_volumes: SuspendedVolumes = SuspendedVolumes()
+    program_bytes: int = field(default=PROGRAM_MB << 20, compare=False)  # resident size without any client
     document: Document | None = field(default=None, compare=False)
 
+    @property
+    def memory_bytes(self) -> int:
+        """The limit of the resident size in bytes."""
+        return self.memory_mb << 20
+
+    @property
+    def reserved_bytes(self) -> int:
+        """The part of the limit in bytes that is used by nothing that the program counts."""
+        return RESERVED_BYTES
+
     @property
     def spare_bytes(self) -> int:
-        """The memory available to requests, bodies and buffers together, in bytes."""
-        return max(MIN_SPARE_MB, self.memory_mb - PROGRAM_MB) << 20
+        """The memory available to connections, requests, bodies and buffers together, in bytes."""
+        return max(MIN_SPARE_BYTES, self.memory_bytes - self.program_bytes - self.reserved_bytes)
 
     @property
     def bounds(self) -> Bounds:
--- a/runloft/core/permissions.py
+++ b/runloft/core/permissions.py
@@ -24,6 +24,7 @@
     """Why a request may not start; the value is a metric label."""
 
     AT_CAPACITY = "no room"
+    NO_MEMORY = "no memory"
     SUSPENDED = "suspended"
     ID_IN_USE = "id in use"
 
--- a/runloft/core/reducer.py
+++ b/runloft/core/reducer.py
@@ -101,6 +101,10 @@
         """The limits on what may be buffered at once."""
         return self._context.bounds
 
+    @bounds.setter
+    def bounds(self, bounds: Bounds) -> None:
+        self._context.bounds = bounds
+
     @property
     def suspended(self) -> SuspendedVolumes:
         """The plans and volumes that are currently suspended."""
--- a/runloft/lab/crowd/run.py
+++ b/runloft/lab/crowd/run.py
@@ -25,6 +25,8 @@
 ORDINARY_INTERVAL_S = 0.2
 RECONNECT_S = 0.02
 CONNECT_TIMEOUT_S = 3.0
+PING = b"*1\r\n$4\r\nPING\r\n"
+PONG = b"+PONG\r\n"
 RELOAD_INTERVAL_S = 1.0
 SAMPLE_INTERVAL_S = 0.05
 EXTRA_TIMEOUT_S = 30.0
@@ -55,6 +57,7 @@
     crowd: AnswerCounts = field(default_factory=AnswerCounts)
     ordinary: AnswerCounts = field(default_factory=AnswerCounts)
     ordinary_seconds: list[float] = field(default_factory=list)
+    waited_in_kernel: int = 0  # connections of ordinary clients that were not read in time
     exit_code: int | None = None
     violations: str = ""
 
@@ -164,6 +167,9 @@
             try:
                 if stream is None:
                     stream = await self._connect()
+                    if not await self._is_let_in(stream):
+                        raise anyio.ClosedResourceError
+                    started_at = time.monotonic()
                 await stream.send(read_request())
                 await read_answers(stream, 1, self.result.ordinary, LATE_ANSWER_S)
                 self.result.ordinary_seconds.append(time.monotonic() - started_at)
@@ -173,6 +179,14 @@
                 stream = None
             await anyio.sleep(ORDINARY_INTERVAL_S)
 
+    async def _is_let_in(self, stream: anyio.abc.SocketStream) -> bool:
+        """Return whether the scheduler reads a new connection, which else waits in the kernel."""
+        await stream.send(PING)
+        with anyio.move_on_after(LATE_ANSWER_S):
+            return await stream.receive() == PONG
+        self.result.waited_in_kernel += 1
+        return False
+
 
 def run_play(settings: CrowdPlay) -> CrowdResult:
     """Run one play with its own folder and port."""
--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -14,6 +14,7 @@
 from runloft.core.permissions import CloseReason
 from runloft.core.timers import TimerQueue
 from runloft.listeners.connection import ClientConnection
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import set_no_delay
 from runloft.net.timing import Clock, pause
 
@@ -22,6 +23,8 @@
 ACCEPT_BURST = 16  # connections accepted in a row before other tasks run
 PRESSURE_FRACTION = 1 / 3  # share of max_sockets above which idle connections are evicted
 CLIENT_FRACTION = 1 / 2  # share of max_sockets that clients may use
+CLIENT_MEMORY_FRACTION = 2 / 3  # share of the spare memory that clients' connections may use
+MIN_CLIENTS = 8  # connections that memory doesn't prevent
 RECENT_ACTIVITY_NS = 100_000_000  # no eviction within this time of connecting or of a response
 EVICTION_BATCH = 8  # connections evicted at a time, since finding candidates scans all clients
 MAX_FAILED_ACCEPTS = 64  # failures of accept(2) in one ``accept_waiting`` before a pause
@@ -52,6 +55,8 @@
     It closes accepted sockets that can't be set up; every other one is owned by its connection.
     """
 
+    connection_bytes = 12 << 10  # memory of a connection besides its buffers and requests
+
     def __init__(
         self,
         task_group: anyio.abc.TaskGroup,
@@ -59,6 +64,7 @@
         timers: TimerQueue,
         clock: Clock,
         config: Config,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self.task_group = task_group
         self.post = post
@@ -67,13 +73,21 @@
         self.clients: set[ClientT] = set()
         self.stopping = False
         self.has_backlog = False  # whether connections may be waiting in the kernel's accept queue
+        self.memory = memory or ProcessMemory()
+        self.memory.add_owner(
+            MemoryOwner.CLIENT_CONNECTIONS, lambda: len(self.clients) * self.connection_bytes
+        )
         self.configure(config)
 
     def configure(self, config: Config) -> None:
         """Apply the limits of this configuration."""
         listener_count = 2 if config.objects else 1
-        self.pressure_threshold = int(config.max_sockets * PRESSURE_FRACTION) // listener_count
-        self.max_clients = int(config.max_sockets * CLIENT_FRACTION) // listener_count
+        by_sockets = int(config.max_sockets * CLIENT_FRACTION) // listener_count
+        client_memory = int(config.spare_bytes * CLIENT_MEMORY_FRACTION) // listener_count
+        by_memory = max(MIN_CLIENTS, client_memory // self.connection_bytes)
+        self.is_limited_by_memory = by_memory < by_sockets
+        self.max_clients = min(by_sockets, by_memory)
+        self.pressure_threshold = int(self.max_clients * PRESSURE_FRACTION / CLIENT_FRACTION)
 
     def new_client(self, sock: socket.socket) -> ClientT:
         """Return the connection that serves an accepted socket."""
@@ -87,15 +101,25 @@
         """Return whether there are so many clients that idle connections time out sooner."""
         return len(self.clients) > self.pressure_threshold // 2
 
+    def has_room(self) -> bool:
+        """Return whether there is memory for another connection."""
+        return len(self.clients) < MIN_CLIENTS or self.memory.has_room(self.connection_bytes)
+
+    def relieve_memory(self) -> None:
+        """Close idle connections if the process uses more memory than it may."""
+        if self.memory.is_exceeded():
+            self.evict_idle()
+
+    def evict_slow(self) -> None:
+        """Fail connections whose command has been incomplete for long, to make room for others."""
+
     def evict_idle(self) -> None:
         """Close up to ``EVICTION_BATCH`` idle connections; one with an unanswered request is never closed."""
         evicted = 0
         for client in self.eviction_candidates():
             if evicted >= EVICTION_BATCH:
                 return
-            if client.may_close(CloseReason.EVICTED):
-                client.close(CloseReason.EVICTED)
-                evicted += 1
+            evicted += client.close_if_permitted(CloseReason.EVICTED)
 
     async def accept(self, listening_socket: socket.socket) -> None:
         """Accept connections until the listening socket is closed; log any other failure and retry."""
@@ -123,9 +147,7 @@
         failed = 0
         while max_count is None or count < max_count:
             count += 1
-            if len(self.clients) >= self.pressure_threshold:
-                self.evict_idle()
-            if len(self.clients) >= self.max_clients:
+            if not self._make_room():
                 self.has_backlog = True
                 return False
             try:
@@ -146,6 +168,17 @@
             self._admit(sock)
         return True
 
+    def _make_room(self) -> bool:
+        """Return whether another connection may be accepted, after closing others if there are many."""
+        if len(self.clients) >= self.pressure_threshold or self._is_full():
+            self.evict_idle()
+        if self._is_full():
+            self.evict_slow()
+        return not self._is_full()
+
+    def _is_full(self) -> bool:
+        return len(self.clients) >= self.max_clients or not self.has_room()
+
     def _admit(self, sock: socket.socket) -> None:
         """Start serving an accepted connection; if its set-up fails, close it and go on."""
         try:
--- a/runloft/listeners/objects/listener.py
+++ b/runloft/listeners/objects/listener.py
@@ -16,6 +16,7 @@
 from runloft.listeners.objects.placement import PlacementDirectory
 from runloft.listeners.objects.translation import RequestTranslator
 from runloft.net.memory_budget import MemoryBudget
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.timing import Clock, within
 from runloft.placement.store import PlacementStore
 
@@ -23,6 +24,8 @@
 class ObjectListener(ListenerBase[ObjectClient]):
     """The listener of the object API; the caller owns the shared store."""
 
+    connection_bytes = 32 << 10
+
     def __init__(
         self,
         task_group: anyio.abc.TaskGroup,
@@ -32,12 +35,14 @@
         config: Config,
         settings: ObjectSettings,
         store: PlacementStore,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self.body_budget = MemoryBudget(0)
         self.placements = PlacementDirectory(store)
         self.translator = RequestTranslator(config, settings)
         self.max_body_bytes = settings.max_body
-        super().__init__(task_group, post, timers, clock, config)
+        super().__init__(task_group, post, timers, clock, config, memory)
+        self.memory.add_owner(MemoryOwner.BODIES, self.body_budget.used_bytes)
 
     def configure(self, config: Config) -> None:
         """Apply the volumes, classes and limits of this configuration."""
--- a/runloft/listeners/resp/commands.py
+++ b/runloft/listeners/resp/commands.py
@@ -90,7 +90,7 @@
 
 def _parse_attributes(text: bytes) -> dict[bytes, bytes]:
     attributes: dict[bytes, bytes] = {}
-    for item in text.split(b","):
+    for item in text.split(b",", len(ALLOWED_ATTRIBUTES)):
         name, separator, value = item.partition(b"=")
         if not separator or name not in ALLOWED_ATTRIBUTES:
             raise BadCommandError("attributes are known names and values")
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -8,8 +8,9 @@
 import anyio
 
 from runloft.core import permissions
+from runloft.core.counters import COUNTERS, CounterName
 from runloft.core.model import RequestReceived
-from runloft.core.permissions import CloseReason
+from runloft.core.permissions import CloseReason, StartRefusal
 from runloft.core.trace import trace
 from runloft.listeners.connection import ERRORS_BEFORE_SLOWDOWN, LINGER_BYTES, slowdown_s
 from runloft.listeners.resp.commands import BadCommandError
@@ -24,7 +25,7 @@
     MAX_SHORT_COMMAND_BYTES,
     SHUTDOWN_LINGER_NS,
 )
-from runloft.listeners.resp.pipelining import PipelinedResponse
+from runloft.listeners.resp.pipelining import BUSY, PipelinedResponse
 from runloft.net import resp2
 from runloft.net.timing import pause
 
@@ -153,6 +154,10 @@
         except BadCommandError as error:
             self._reject(response, str(error))
             return
+        if not self.listener.may_start(request.payload.buffered_bytes):
+            COUNTERS.add(CounterName.REQUESTS_NOT_STARTED, StartRefusal.NO_MEMORY)
+            response.complete(BUSY)
+            return
         if trace.enabled:
             trace("command", client=self.number, id=request.id)
         self.errors = min(self.errors, ERRORS_BEFORE_SLOWDOWN)
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -58,6 +58,9 @@
     def may_post(self) -> bool:
         """Return whether another request may be posted before the core has processed the earlier ones."""
 
+    def may_start(self, buffered_bytes: int) -> bool:
+        """Return whether there is memory for a request with so many bytes to forward."""
+
     def max_unwritten_bytes(self) -> int:
         """Return how much a connection's responses may use before its next command is processed."""
 
@@ -168,12 +171,12 @@
 
     def close_if_idle(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Close the connection if it is idle and has no unread input."""
-        if self.closed or self.is_closing or not self.may_close(reason):
+        if self.closed or self.is_closing:
             return
         if self.listener.clock() - self.last_activity_at >= LINGER_NS:
-            self.close(reason)
-            return
-        self.close_after_responses(reason)
+            self.close_if_permitted(reason)
+        elif self.may_close(reason):
+            self.close_after_responses(reason)
 
     def close_after_responses(self, reason: CloseReason = CloseReason.SHUTDOWN) -> None:
         """Read no further commands, and close after the pending responses are written.
@@ -193,6 +196,7 @@
             self.is_closing = True
             self.close_reason = CloseReason.PROTOCOL_ERROR
             self.reading_scope.cancel()
+            self._refuse_unprocessed()
             self.reader.release()
             self.pipeline.add_response(self).complete(b"-ERR Protocol error: %s\r\n" % reason.encode())
 
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -16,6 +16,7 @@
 
 # From a command's first byte to its last; for the first command, from connecting.
 COMMAND_TIMEOUT_NS = 2_600_000_000
+SLOW_COMMAND_NS = 500_000_000  # an incomplete command this old fails if its connection's place is needed
 IDLE_TIMEOUT_NS = 15_000_000_000  # between requests
 PRESSURE_IDLE_TIMEOUT_NS = 2_000_000_000  # between requests, under connection pressure
 RECHECK_INTERVAL_NS = PRESSURE_IDLE_TIMEOUT_NS // 8  # of expired connections that could not be closed
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -5,11 +5,11 @@
 
 import anyio.abc
 
-from runloft.config.settings import Config
+from runloft.config.settings import OPEN_REQUEST_BYTES, Config
 from runloft.core.model import Event
 from runloft.core.permissions import CloseReason
 from runloft.core.timers import TimerQueue
-from runloft.listeners.accepting import RECENT_ACTIVITY_NS, ListenerBase
+from runloft.listeners.accepting import EVICTION_BATCH, RECENT_ACTIVITY_NS, ListenerBase
 from runloft.listeners.connection import DISCONNECT_POLL_INTERVAL_NS
 from runloft.listeners.resp.commands import CommandTranslator
 from runloft.listeners.resp.connection import RespClient
@@ -20,8 +20,10 @@
     OUTPUT_MEMORY_DIVISOR,
     OUTPUT_SHARE_DIVISOR,
     QUEUE_MEMORY_DIVISOR,
+    SLOW_COMMAND_NS,
 )
 from runloft.listeners.resp.memory import MemoryAccount
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import half_closed
 from runloft.net.timing import Clock
 
@@ -31,6 +33,14 @@
     return 0
 
 
+def _fail_incomplete(client: ClientLifetime) -> None:
+    """Fail a client's incomplete command, and close the connection at once if no response can be lost."""
+    has_sent_command = client.has_sent_command or client.reader.has_complete_command()
+    client.fail("no room for this command")
+    if not has_sent_command:
+        client.close(CloseReason.PROTOCOL_ERROR)
+
+
 class RespListener(ListenerBase[RespClient]):
     """The listener of the platform's protocol.
 
@@ -45,13 +55,16 @@
         clock: Clock,
         config: Config,
         queued_request_bytes: Callable[[], int] = no_queued_bytes,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self._queued_request_bytes = queued_request_bytes
         self.paused_clients: set[ClientLifetime] = set()  # clients whose input is not being read
         self.input_memory = MemoryAccount()
         self.output_memory = MemoryAccount()
         self._is_poll_scheduled = False
-        super().__init__(task_group, post, timers, clock, config)
+        super().__init__(task_group, post, timers, clock, config, memory)
+        self.memory.add_owner(MemoryOwner.CLIENT_INPUT, lambda: self.input_memory.used_bytes)
+        self.memory.add_owner(MemoryOwner.RESPONSES, lambda: self.output_memory.used_bytes)
 
     def configure(self, config: Config) -> None:
         """Apply the names and limits of this configuration."""
@@ -72,6 +85,10 @@
         """
         return self._queued_request_bytes() < self.max_queued_bytes
 
+    def may_start(self, buffered_bytes: int) -> bool:
+        """Return whether there is memory for a request with so many bytes to forward."""
+        return self.memory.has_room(OPEN_REQUEST_BYTES + buffered_bytes)
+
     def max_unwritten_bytes(self) -> int:
         """Return how much a connection's responses may use before its next command is processed."""
         if not self.output_memory.is_half_used():
@@ -98,7 +115,7 @@
 
     def enforce_input_memory_limit(self) -> None:
         """Fail incomplete commands, least recently active client first, while input exceeds its limit."""
-        while self.input_memory.is_exceeded():
+        while self.input_memory.is_exceeded() or self.memory.is_exceeded():
             candidates = [
                 client
                 for client in self.clients
@@ -106,10 +123,24 @@
             ]
             if not candidates:
                 return
-            least_recently_active = min(candidates, key=lambda client: client.last_activity_at)
-            least_recently_active.fail("no room for this command")
-            if not least_recently_active.pipeline:
-                least_recently_active.close(CloseReason.PROTOCOL_ERROR)
+            _fail_incomplete(min(candidates, key=lambda client: client.last_activity_at))
+
+    def relieve_memory(self) -> None:
+        """Close idle connections and fail incomplete commands if the process uses too much memory."""
+        super().relieve_memory()
+        self.enforce_input_memory_limit()
+
+    def evict_slow(self) -> None:
+        """Fail the commands that have been incomplete for longest, up to ``EVICTION_BATCH`` of them."""
+        slow_since = self.clock() - SLOW_COMMAND_NS
+        slow = [
+            client
+            for client in self.clients
+            if client.reader.has_been_incomplete_since(slow_since) and not client.is_closing
+        ]
+        slow.sort(key=lambda client: client.reader.incomplete_since or 0)
+        for client in slow[:EVICTION_BATCH]:
+            _fail_incomplete(client)
 
     def enforce_output_memory_limit(self) -> None:
         """Close clients while unwritten responses exceed their memory limit, the largest first."""
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -10,6 +10,8 @@
 from runloft.net.socket_state import data_age_ns
 from runloft.net.timing import Clock
 
+ARRIVAL_BYTES = 136  # memory of a recorded arrival time
+
 
 class CommandReader:
     """Reads commands from a connection's socket, which it does not own.
@@ -96,6 +98,18 @@
         """Return the arrival time of the last byte of the last parsed command, in nanoseconds."""
         return self._arrivals.of_byte_before(self.unparsed_bytes(), default)
 
+    def has_complete_command(self) -> bool:
+        """Return whether the received bytes begin with a complete command."""
+        inbox = self.inbox
+        try:
+            return resp2.parse_command(inbox.data, inbox.start, inbox.end) is not None
+        except resp2.RespError:
+            return False
+
+    def has_been_incomplete_since(self, at: int) -> bool:
+        """Return whether the current command began at ``at`` or earlier and is incomplete."""
+        return self.incomplete_since is not None and self.incomplete_since <= at
+
     def unparsed_bytes(self) -> int:
         """Return how many bytes have been received but not parsed."""
         return self.inbox.end - self.inbox.start
@@ -108,6 +122,8 @@
     def shrink(self) -> None:
         """Release the buffer's memory if all received bytes have been parsed."""
         self.inbox.shrink()
+        if not self.unparsed_bytes():
+            self._arrivals.clear()
         self._account()
 
     def release(self) -> None:
@@ -116,7 +132,8 @@
         The connection's objects refer to one another, so that they live until the next garbage collection.
         """
         self.inbox.release()
+        self._arrivals.clear()
         self._account()
 
     def _account(self) -> None:
-        self._memory_share.set(len(self.inbox.data))
+        self._memory_share.set(len(self.inbox.data) + ARRIVAL_BYTES * len(self._arrivals))
--- a/runloft/net/buffers.py
+++ b/runloft/net/buffers.py
@@ -7,6 +7,8 @@
 MAX_CHUNKS_PER_WRITE = 64
 MIN_GROWTH_BYTES = 4096
 MAX_GROWTH_BYTES = 256 << 10
+MAX_EXACT_ARRIVALS = 32  # reads whose arrival times are all kept
+ARRIVAL_RESOLUTION_NS = 10_000_000  # of the reads beyond them
 
 
 class ReceiveBuffer:
@@ -108,10 +110,24 @@
         self._received_bytes = 0
         self._arrivals: deque[tuple[int, int]] = deque()  # (total bytes received, arrival time)
 
+    def __len__(self) -> int:
+        return len(self._arrivals)
+
     def add(self, count: int, at: int) -> None:
-        """Record that ``count`` bytes arrived at ``at``."""
+        """Record that ``count`` bytes arrived at ``at``.
+
+        Of many reads, those that are close together count as arrived with the first of them.
+        """
         self._received_bytes += count
-        self._arrivals.append((self._received_bytes, at))
+        arrivals = self._arrivals
+        if len(arrivals) >= MAX_EXACT_ARRIVALS and at - arrivals[-1][1] < ARRIVAL_RESOLUTION_NS:
+            arrivals[-1] = (self._received_bytes, arrivals[-1][1])
+        else:
+            arrivals.append((self._received_bytes, at))
+
+    def clear(self) -> None:
+        """Drop all entries, when no received byte is left unparsed."""
+        self._arrivals.clear()
 
     def of_byte_before(self, unparsed: int, default: int) -> int:
         """Return the arrival time of the byte before the last ``unparsed`` bytes; drop earlier entries."""
--- a/runloft/net/memory_budget.py
+++ b/runloft/net/memory_budget.py
@@ -17,6 +17,10 @@
         self.capacity = capacity
         self._changed.set()
 
+    def used_bytes(self) -> int:
+        """Return how many bytes are reserved."""
+        return self.capacity - self.free
+
     async def acquire(self, size: int) -> None:
         """Wait until ``size`` bytes are free, then reserve them."""
         while size > self.free:
--- a/runloft/service/interfaces.py
+++ b/runloft/service/interfaces.py
@@ -25,6 +25,9 @@
     def abandon(self, attempt: int) -> None:
         """Close an attempt's connection, if it belongs to this upstream."""
 
+    def relieve_memory(self) -> None:
+        """Close idle connections if the process uses more memory than it may."""
+
     def open_count(self) -> int:
         """Return the number of open connections."""
 
@@ -48,6 +51,9 @@
     def accept_waiting(self, listening_socket: socket.socket) -> bool:
         """Accept the connections queued by the kernel; return False if some may still be queued."""
 
+    def relieve_memory(self) -> None:
+        """Free memory if the process uses more than it may."""
+
     def stop(self, final: bool = False) -> None:
         """Close connections as they become idle; with `final`, those of clients that keep sending too."""
 
--- a/runloft/service/reload.py
+++ b/runloft/service/reload.py
@@ -130,7 +130,7 @@
 
 def applicable_change(old: Config, new: Config) -> ApplicableChange:
     """Return the new configuration, with the old values of settings that a running scheduler can't change."""
-    unchanged: dict[str, Any] = {}
+    unchanged: dict[str, Any] = {"program_bytes": old.program_bytes}
     needs_restart = []
     for key in FIXED_KEYS:
         if getattr(old, key) != getattr(new, key):
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -2,13 +2,14 @@
 
 import signal
 from collections.abc import AsyncIterator, Callable
+from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
 
 import anyio
 import structlog
 
-from runloft.config.settings import Config, ObjectSettings
+from runloft.config.settings import MIN_SPARE_BYTES, OPEN_REQUEST_BYTES, Config, ObjectSettings
 from runloft.core.counters import COUNTERS
 from runloft.core.invariants import INVARIANTS
 from runloft.core.model import NodeUpdate
@@ -19,6 +20,7 @@
 from runloft.discovery.watch import Watch
 from runloft.listeners.resp import RespListener
 from runloft.net.listening import open_listener_with_retry
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.service.clock import MonotonicClock
 from runloft.service.errors import (
     InvalidSettingError,
@@ -44,6 +46,8 @@
     from runloft.service.admin import AdminServer
 
 log = structlog.get_logger()
+MB = 1 << 20
+RESERVED_ID_BYTES = 256  # memory of a client's request id that is in use or reserved
 
 
 class StartProgress:
@@ -109,6 +113,33 @@
     return core
 
 
+def new_process_memory(runner: Runner) -> ProcessMemory:
+    """Return the account of the process's memory with what the runner and its core use."""
+    core = runner.core
+    memory = ProcessMemory()
+    memory.add_owner(MemoryOwner.QUEUED_REQUESTS, runner.queued_request_bytes)
+    memory.add_owner(
+        MemoryOwner.OPEN_REQUESTS,
+        lambda: sum(
+            usage.open_requests * OPEN_REQUEST_BYTES + usage.buffered_bytes for usage in core.usage.values()
+        ),
+    )
+    memory.add_owner(MemoryOwner.RESERVED_IDS, lambda: len(core.client_ids) * RESERVED_ID_BYTES)
+    return memory
+
+
+def check_memory_limit(config: Config, program_bytes: int) -> None:
+    """Raise InvalidSettingError if the program itself takes more than the limit."""
+    if program_bytes <= config.memory_bytes:
+        return
+    least_mb = -(-(program_bytes + config.reserved_bytes + MIN_SPARE_BYTES) // MB)
+    reason = (
+        f"the program takes {program_bytes / MB:.1f} MB at its start, the limit is {config.memory_mb} MB; "
+        f"at least {least_mb} is needed"
+    )
+    raise InvalidSettingError("limits.memory_mb", reason)
+
+
 def node_endpoint(node: NodeUpdate) -> str:
     """Return the address of a node's RESP2 server."""
     return node.endpoint
@@ -135,7 +166,10 @@
         self.endpoints: list[ListeningEndpoint] = []
         self.store: PlacementStore | None = None
         self.admin: AdminServer | None = None
-        self.memory = MemoryMonitor(config.memory_mb, runner.timers, runner.clock, self.state_sizes)
+        self.process_memory = new_process_memory(runner)
+        self.memory = MemoryMonitor(
+            self.process_memory, runner.timers, runner.clock, self.state_sizes, self.relieve_memory
+        )
 
     def state_sizes(self) -> dict[str, int]:
         """Return the sizes of the state that grows with clients and nodes, as fields of a log line."""
@@ -143,11 +177,17 @@
         return {
             "clients": sum(len(endpoint.listener.clients) for endpoint in self.endpoints),
             "open_requests": len(runner.core.requests),
-            "queued_request_bytes": runner.queued_request_bytes(),
             "node_connections": sum(pool.open_count() for pool in runner.pools.values()),
             "timers": len(runner.timers),
         }
 
+    def relieve_memory(self) -> None:
+        """Have the listeners and pools free memory if the process uses more than it may."""
+        for endpoint in self.endpoints:
+            endpoint.listener.relieve_memory()
+        for pool in self.runner.pools.values():
+            pool.relieve_memory()
+
     async def run(
         self, config_path: str | None, received: AsyncIterator[signal.Signals], progress: StartProgress
     ) -> None:
@@ -162,11 +202,14 @@
                     ListKind.CACHED, self.config.initial_node_list.get("targets"), self.config.zones
                 )
             )
+        # Processed before the memory is measured, since it grows with the nodes.
+        self.runner.process_events()
         watch = self._new_watch()
-        self._log_endpoints()
-        reload = self._new_reload(config_path, watch)
         if self.config.admin:
             self._open_admin(ListenAddress("admin.listen", *self.config.admin))
+        self._measure_program()
+        self._log_endpoints()
+        reload = self._new_reload(config_path, watch)
         progress.is_complete = True
         self.memory.start()
         async with self.tasks as tasks:
@@ -204,7 +247,13 @@
         )
         runner = self.runner
         listener = RespListener(
-            self.tasks, runner.post, runner.timers, runner.clock, config, runner.queued_request_bytes
+            self.tasks,
+            runner.post,
+            runner.timers,
+            runner.clock,
+            config,
+            runner.queued_request_bytes,
+            self.process_memory,
         )
         await self._listen(listener, ListenAddress("listen", *config.listen))
         if config.objects:
@@ -220,7 +269,14 @@
             self.store = PlacementStore(settings.store)
         runner = self.runner
         listener = ObjectListener(
-            self.tasks, runner.post, runner.timers, runner.clock, self.config, settings, self.store
+            self.tasks,
+            runner.post,
+            runner.timers,
+            runner.clock,
+            self.config,
+            settings,
+            self.store,
+            self.process_memory,
         )
         await self._listen(listener, ListenAddress("objects.listen", *settings.listen))
         self._add_pool(
@@ -251,8 +307,31 @@
             begin_attempt=runner.core.begin_attempt,
             descriptors_divisor=descriptors_divisor,
             endpoint=endpoint,
+            memory=self.process_memory,
         )
 
+    def _measure_program(self) -> None:
+        """Share out what the program's own size leaves of the memory limit; raise StartupError if too little.
+
+        Without a measurement the size that the configuration assumes stays.
+        """
+        resident = self.process_memory.sample()
+        if resident is None:
+            return
+        check_memory_limit(self.config, resident)
+        self.config = replace(self.config, program_bytes=resident)
+        self.process_memory.configure(self.config)
+        self.runner.core.bounds = self.config.bounds
+        for component in self._configurable():
+            component.configure(self.config)
+
+    def _configurable(self) -> list[Configurable]:
+        """Return the components whose limits follow from the configuration."""
+        components: list[Configurable] = [self.process_memory]
+        components += [endpoint.listener for endpoint in self.endpoints]
+        components += self.runner.pools.values()
+        return components
+
     async def _listen(self, listener: Listener, address: ListenAddress) -> None:
         """Open a listener's socket; retry while a predecessor still listens on the address."""
         try:
@@ -286,10 +365,14 @@
 
     def _new_reload(self, config_path: str | None, watch: Watch) -> Reload:
         runner = self.runner
-        components: list[Configurable] = [endpoint.listener for endpoint in self.endpoints]
-        components += runner.pools.values()
         reload = Reload(
-            config_path, self.config, watch, runner.post, components, timers=runner.timers, clock=runner.clock
+            config_path,
+            self.config,
+            watch,
+            runner.post,
+            self._configurable(),
+            timers=runner.timers,
+            clock=runner.clock,
         )
         if self.agreement:
             reload.apply_agreement = self.agreement.with_committed
--- a/runloft/upstream/pool.py
+++ b/runloft/upstream/pool.py
@@ -14,6 +14,7 @@
 from runloft.core.trace import trace
 from runloft.decisions.contract import NodeState
 from runloft.net.memory_budget import MemoryBudget
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import is_idle_and_alive
 from runloft.upstream.connection import Peer, UpstreamConnection
 
@@ -25,6 +26,8 @@
 REPLY_BUDGET_DIVISOR = 3  # spare memory divided by this: limit for all partly received long replies
 MIN_IDLE_BEFORE_REUSE_NS = 3_000_000  # extra bytes after a reply, such as a second copy, arrive by then
 RESERVED_DESCRIPTORS = 32  # for listeners, the watch, logs and signals: all but client and node connections
+NODE_CONNECTION_BYTES = 16 << 10  # memory of a connection, and of a short reply that it reads
+MIN_CONNECTIONS = 8  # that memory doesn't prevent
 POOL_FULL_RETRY_NS = 5_000_000
 LOCAL_ERROR_RETRY_NS = 20_000_000
 DEFAULT_CONNECT_TIMEOUT_NS = 1_000_000_000
@@ -49,6 +52,7 @@
         begin_attempt: Callable[[int, int, int], None],
         descriptors_divisor: int = 4,
         endpoint: Callable[[NodeUpdate], str] = lambda node: node.endpoint,
+        memory: ProcessMemory | None = None,
     ) -> None:
         self.task_group = task_group
         self.post = post
@@ -60,11 +64,14 @@
         self.descriptors_divisor = descriptors_divisor
         self.endpoint = endpoint
         self.reply_memory = MemoryBudget(0)
+        self.memory = memory or ProcessMemory()
         self.configure(config)
         self.idle: dict[Peer, list[UpstreamConnection]] = {}
         self.in_flight: dict[int, UpstreamConnection] = {}  # connections by attempt
         self.open: set[UpstreamConnection] = set()
         self.waiting: dict[int, TimerHandle] = {}  # by attempt: timers of those that wait for a connection
+        self.memory.add_owner(MemoryOwner.NODE_CONNECTIONS, lambda: len(self.open) * NODE_CONNECTION_BYTES)
+        self.memory.add_owner(MemoryOwner.NODE_REPLIES, self.reply_memory.used_bytes)
 
     def configure(self, config: Config) -> None:
         """Apply the timeouts, connection limit and memory limits of a configuration."""
@@ -93,7 +100,7 @@
             self._dispatch_later(effect, idle[0].idle_since + MIN_IDLE_BEFORE_REUSE_NS + 1)
             return
         # Retry instead of failing the attempt: a lack of descriptors here must not count against the node.
-        if len(self.open) >= self.max_connections and not self._evict_idle():
+        if self._is_full() and not self._evict_idle():
             self._dispatch_later(effect, self.clock() + POOL_FULL_RETRY_NS)
             return
         try:
@@ -106,6 +113,11 @@
         self._start(connection, effect)
         self.task_group.start_soon(connection.run)
 
+    def _is_full(self) -> bool:
+        """Return whether no further connection may be opened."""
+        has_memory = len(self.open) < MIN_CONNECTIONS or self.memory.has_room(NODE_CONNECTION_BYTES)
+        return len(self.open) >= self.max_connections or not has_memory
+
     def _start(self, connection: UpstreamConnection, effect: Dispatch) -> None:
         self.in_flight[effect.attempt] = connection
         connection.start(effect)
@@ -193,6 +205,11 @@
                 return True
         return False
 
+    def relieve_memory(self) -> None:
+        """Close idle connections while the process uses more memory than it may."""
+        while self.memory.is_exceeded() and self._evict_idle():
+            pass
+
     def update_nodes(self, nodes: tuple[NodeUpdate, ...]) -> None:
         """Close idle connections to nodes whose endpoint has changed or that are not ready."""
         for node in nodes:
--- a/tests/config/test_unchanged_output.py
+++ b/tests/config/test_unchanged_output.py
@@ -26,7 +26,8 @@
     if isinstance(item, Enum):
         return list(type(item)).index(item)
     if is_dataclass(item):
-        return [values_only(getattr(item, field.name)) for field in fields(item) if field.name != "document"]
+        # Not the document, nor what is measured and not configured.
+        return [values_only(getattr(item, field.name)) for field in fields(item) if field.compare]
     if isinstance(item, dict):
         return [[values_only(key), values_only(value)] for key, value in item.items()]
     if isinstance(item, list | tuple):
--- a/tests/service/test_memory_monitor.py
+++ b/tests/service/test_memory_monitor.py
@@ -5,12 +5,18 @@
 from structlog.testing import capture_logs
 
 from runloft.core.timers import TimerQueue
+from runloft.net.process_memory import ProcessMemory
 from runloft.net.resident_size import resident_bytes
 from runloft.service.memory_monitor import SAMPLE_INTERVAL_NS, MemoryMonitor
 
 MB = 1 << 20
 
 
+def monitor_of(memory, timers):
+    memory.limit_bytes = 32 * MB
+    return MemoryMonitor(memory, timers, lambda: 0, lambda: {"clients": 7}, lambda: None)
+
+
 def test_the_resident_size_is_that_of_this_process():
     before = resident_bytes()
     with mmap.mmap(-1, 16 * MB) as pages:  # new pages: an allocation may reuse resident memory
@@ -23,7 +29,7 @@
     """Prevents a kill for memory about which the log says nothing."""
     sizes = iter([20 * MB, 31 * MB, 31 * MB, 20 * MB])
     timers = TimerQueue()
-    monitor = MemoryMonitor(32, timers, lambda: 0, lambda: {"clients": 7}, lambda: next(sizes))
+    monitor = monitor_of(ProcessMemory(lambda: next(sizes)), timers)
     with capture_logs() as logs:
         monitor.start()
         for _ in range(3):
@@ -40,7 +46,5 @@
 
 def test_a_kernel_that_does_not_tell_the_size_stops_nothing():
     timers = TimerQueue()
-    monitor = MemoryMonitor(32, timers, lambda: 0, dict, lambda: None)
-    monitor.start()
-    assert monitor.sample() is None
+    monitor_of(ProcessMemory(lambda: None), timers).start()
     assert len(timers) == 1
--- a/tests/service/test_startup_errors.py
+++ b/tests/service/test_startup_errors.py
@@ -228,3 +228,17 @@
     with pytest.raises(MissingPackageError) as caught, packages_required_by("admin"):
         raise ModuleNotFoundError("no module", name="prometheus_client")
     assert (caught.value.key, caught.value.package) == ("admin", "prometheus_client")
+
+
+@pytest.mark.parametrize("make_config", [platform_config, operator_config])
+def test_a_memory_limit_below_the_programs_own_size_is_told_with_what_was_measured(start, make_config):
+    """Guards against a process that is killed for its memory again and again after each start."""
+    failed = start(make_config() | {"limits": {"cores": 1.0, "memory_mb": 10, "sockets": 256}})
+    assert failed.exit_code == 1
+    (line,) = failed.lines
+    found = re.fullmatch(
+        r"runloft: CONFIG: limits.memory_mb: the program takes (\S+) MB at its start, the limit is 10 MB; "
+        r"at least (\d+) is needed",
+        line,
+    )
+    assert found and 10 < float(found[1]) < int(found[2])
