Look for clients' closes in their sockets before attempts begin

Cause: an attempt of a request that was received within 10 ms began without a look at its client; since the listener yields between two reads, the core steps between the read of a request and the read of the close that lies behind it, and a hold lengthens that. Change: before the attempts of a step begin, one poll of all their clients' sockets tells who has left; their requests end as their clients' disconnects do. It doesn't matter any more in which order a listener reads, yields or pauses.

--- a/runloft/core/model.py
+++ b/runloft/core/model.py
@@ -137,6 +137,9 @@
     def has_disconnected(self) -> bool:
         """Poll the socket and return whether the client has disconnected."""
 
+    def client_descriptor(self) -> int:
+        """Return the descriptor of the client's socket, -1 once it is closed."""
+
 
 # Events.
 
--- a/runloft/lab/crowd/commands.py
+++ b/runloft/lab/crowd/commands.py
@@ -63,7 +63,8 @@
         f"{play.descriptors:5} descriptors {play.clients:5} clients: "
         f"start {result.start_mb:5.1f} peak {result.peak_mb:5.1f} MB, "
         f"{result.max_descriptors} descriptors, crowd {_counts(crowd)}, ordinary {_counts(ordinary)} "
-        f"not let in {result.waited_in_kernel}, p99 {result.p99_ms():.0f} ms, exit {result.exit_code}, violations {result.violations}"
+        f"not let in {result.waited_in_kernel}, "
+        f"p99 {result.p99_ms():.0f} ms, exit {result.exit_code}, violations {result.violations}"
     )
 
 
--- a/runloft/listeners/connection.py
+++ b/runloft/listeners/connection.py
@@ -26,7 +26,7 @@
 
 def has_half_closed(sock: socket.socket) -> bool:
     """Return whether the peer has shut down its sending side, even if input is still unread."""
-    return bool(half_closed((sock,)))
+    return bool(half_closed((sock.fileno(),)))
 
 
 class ClientConnection(ABC):
--- a/runloft/listeners/objects/exchange.py
+++ b/runloft/listeners/objects/exchange.py
@@ -33,6 +33,10 @@
         """Return whether the client has disconnected, even if input is still unread."""
         return self._sock.fileno() < 0 or has_half_closed(self._sock)
 
+    def client_descriptor(self) -> int:
+        """Return the descriptor of the client's socket, -1 once it is closed."""
+        return self._sock.fileno()
+
     def answer(self, reply: Reply) -> None:
         """Record the final reply."""
         INVARIANTS.check_response(self.reply is not None, listener="objects")
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -188,7 +188,7 @@
 
     def _close_disconnected(self) -> None:
         """Close the paused clients that have disconnected, and read ahead on the others."""
-        disconnected = half_closed(client.sock for client in self.paused_clients)
+        disconnected = half_closed(client.sock.fileno() for client in self.paused_clients)
         for client in list(self.paused_clients):
             if client.sock.fileno() in disconnected or not self._read_ahead(client):
                 client.close(CloseReason.CLIENT_DISCONNECTED)
--- a/runloft/listeners/resp/pipelining.py
+++ b/runloft/listeners/resp/pipelining.py
@@ -1,6 +1,7 @@
 """The order of responses on a RESP2 connection: each command's response is queued when it is read."""
 
 import math
+import socket
 from collections import deque
 from typing import Protocol
 
@@ -17,6 +18,7 @@
 
     number: int
     errors: int
+    sock: socket.socket
 
     def flush(self) -> None:
         """Write the complete responses at the head of the pipeline."""
@@ -53,6 +55,10 @@
         """Return whether the client has disconnected; the connection is closed then."""
         return self._owner.has_disconnected()
 
+    def client_descriptor(self) -> int:
+        """Return the descriptor of the client's socket, -1 once it is closed."""
+        return self._owner.sock.fileno()
+
     def answer(self, reply: Reply) -> None:
         """Complete the response with the translation of the final reply."""
         match reply:
--- a/runloft/net/socket_state.py
+++ b/runloft/net/socket_state.py
@@ -36,11 +36,11 @@
     return False
 
 
-def half_closed(socks: Iterable[socket.socket]) -> set[int]:
+def half_closed(descriptors: Iterable[int]) -> set[int]:
     """Return the descriptors of sockets that failed or whose peer stopped sending, even with unread data."""
     poll = select.poll()
-    for sock in socks:
-        poll.register(sock, select.POLLRDHUP)
+    for descriptor in descriptors:
+        poll.register(descriptor, select.POLLRDHUP)
     return {descriptor for descriptor, _ in poll.poll(0)}
 
 
--- a/runloft/service/runner.py
+++ b/runloft/service/runner.py
@@ -1,12 +1,15 @@
 """The event loop: passes queued events to the reducer and carries out the effects that it returns."""
 
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Sequence
 
 import anyio
 import structlog
 
+from runloft.core.counters import COUNTERS, CounterName
 from runloft.core.model import (
     AbortAttempt,
+    AttemptWithdrawn,
+    ClientDisconnected,
     Dispatch,
     Effect,
     Event,
@@ -15,8 +18,11 @@
     SendResponse,
     StartResponse,
 )
+from runloft.core.permissions import SendRefusal
 from runloft.core.reducer import Core
 from runloft.core.timers import TimerQueue
+from runloft.core.trace import trace
+from runloft.net.socket_state import half_closed
 from runloft.service.interfaces import Upstream
 
 log = structlog.get_logger()
@@ -99,15 +105,43 @@
                 self._update_nodes(event)
         self.carry_out(self.core.step(self.clock(), events))
 
+    def _attempts_of_departed_clients(self, effects: Sequence[Effect]) -> set[int]:
+        """Return the dispatched attempts whose clients have disconnected, by one poll of all their sockets.
+
+        A request is read before a close that is already in its socket behind it, however the listener reads.
+        """
+        descriptors = {
+            effect.attempt: self.core.attempts[effect.attempt].request.sink.client_descriptor()
+            for effect in effects
+            if isinstance(effect, Dispatch) and effect.attempt in self.core.attempts
+        }
+        if not descriptors:
+            return set()
+        closed = half_closed(descriptor for descriptor in descriptors.values() if descriptor >= 0) | {-1}
+        return {attempt for attempt, descriptor in descriptors.items() if descriptor in closed}
+
+    def _withdraw(self, attempt: int) -> None:
+        """End an attempt that was not sent, and have the listener notice that its client has disconnected."""
+        COUNTERS.add(CounterName.ATTEMPTS_NOT_SENT, SendRefusal.CLIENT_DISCONNECTED)
+        if trace.enabled:
+            trace("attempt not sent", attempt=attempt, reason=str(SendRefusal.CLIENT_DISCONNECTED))
+        sink = self.core.attempts[attempt].request.sink
+        sink.has_disconnected()
+        self.post(ClientDisconnected(sink))
+        self.post(AttemptWithdrawn(attempt))
+
     def _update_nodes(self, update: NodeListUpdate) -> None:
         self.core.endpoints.wall_clock_is_unreliable |= abs(self.clock_error_ns()) > MAX_CLOCK_ERROR_NS
         for pool in self.pools.values():
             pool.update_nodes(update.nodes)
 
-    def carry_out(self, effects: Iterable[Effect]) -> None:
-        """Carry out the reducer's effects in order."""
+    def carry_out(self, effects: Sequence[Effect]) -> None:
+        """Carry out the reducer's effects in order, but begin no attempt whose client has disconnected."""
+        departed = self._attempts_of_departed_clients(effects)
         for effect in effects:
             match effect:
+                case Dispatch(attempt) if attempt in departed:
+                    self._withdraw(attempt)
                 case Dispatch():
                     self.pools[effect.payload.protocol].dispatch(effect)
                 case AbortAttempt(attempt):
--- a/tests/service/test_graceful_shutdown.py
+++ b/tests/service/test_graceful_shutdown.py
@@ -22,6 +22,7 @@
 from runloft.service.interfaces import ListeningEndpoint
 from runloft.service.runner import Runner
 from runloft.service.shutdown import OPEN_REQUEST_GRACE_NS, graceful_shutdown
+from tests.support.client_sockets import open_descriptor
 from tests.support.core_harness import CoreHarness
 from tests.support.driver import MS, SECOND, Host, request_class, settings
 
@@ -68,6 +69,9 @@
         self.listener = listener
         self.sent_at = listener.scene.now
 
+    def client_descriptor(self):
+        return open_descriptor()
+
     def answer(self, reply):
         scene = self.listener.scene
         self.listener.responses.append(Response(self.sent_at, scene.now, reply))
--- a/tests/support/upstream_scene.py
+++ b/tests/support/upstream_scene.py
@@ -20,6 +20,7 @@
 from runloft.upstream.payloads import RespPayload
 from runloft.upstream.pool import ConnectionPool
 from runloft.upstream.resp_connection import RespConnection
+from tests.support.client_sockets import open_descriptor
 from tests.support.driver import MS, SECOND
 from tests.support.standins import config, settings
 
@@ -43,6 +44,9 @@
     def has_disconnected(self):
         return self.disconnected
 
+    def client_descriptor(self):
+        return open_descriptor()
+
 
 async def until(check):
     """Run the tasks until ``check()`` is true and return its value."""
