Ask for the permission to send again if the process was held up after it

Cause: between the permission for an attempt and its write the process may be held up; the attempt then began for a client that had left meanwhile, and told its node a wait that was too long ('told too much' was counted). Change: a permission older than 2 ms is asked for again before the write, up to three times. What is left is a hold between the last look at the clock and the write's system call; the trace of an attempt tells its length.

--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -8,6 +8,7 @@
 from pathlib import Path
 
 from runloft.config.tool.output import usage_error
+from runloft.lab.soak.departures import draw_departures
 from runloft.lab.soak.playing import MAX_SHOWN_VIOLATIONS, Player
 from runloft.lab.soak.records import RequestOutcome
 from runloft.lab.soak.schedule import Schedule, ScheduleError, draw, parse_kinds, read_schedule
@@ -56,6 +57,12 @@
     if options.schedule:
         return [read_schedule(options.schedule)]
     seeds = _parse_seeds(options.seeds)
+    if options.departures:
+        return [
+            draw_departures(seed, options.processes, options.seconds, stop_ms / MS_PER_S)
+            for stop_ms in _parse_stops(options.departures)
+            for seed in seeds
+        ]
     kinds = parse_kinds(options.troubles)
     return [draw(seed, options.processes, options.seconds, kinds) for seed in seeds]
 
@@ -71,6 +78,14 @@
     return seeds
 
 
+def _parse_stops(text: str) -> list[int]:
+    """Parse lengths of stops in milliseconds, separated by commas."""
+    parts = text.split(",")
+    if not all(part.isdigit() for part in parts):
+        raise ScheduleError(f"--departures {text}: expected milliseconds such as 0,150")
+    return [int(part) for part in parts]
+
+
 def _report(result: SeedResult) -> None:
     schedule = result.schedule
     served = result.outcomes.get(str(RequestOutcome.SERVED), 0)
@@ -80,6 +95,8 @@
         f"event loop delay {result.lag_s * MS_PER_S:.0f} ms",
         flush=True,
     )
+    for violation in result.held:
+        print(f"  held up in the write's system call, not counted: {violation}")
     for violation in result.violations[:MAX_SHOWN_VIOLATIONS]:
         print(f"  {violation}")
     if not result.violations:
--- a/runloft/lab/soak/fault_player.py
+++ b/runloft/lab/soak/fault_player.py
@@ -56,6 +56,8 @@
         match fault.kind:
             case FaultKind.PROCESS_PAUSE:
                 await process.pause(fault.for_s)
+            case FaultKind.PROCESS_STOP:
+                await process.pause(fault.for_s, fault.amount, fault.amount)
             case FaultKind.PROCESS_RELOAD:
                 await self._reload(fault, process)
             case FaultKind.PROCESS_TERMINATE:
--- a/runloft/lab/soak/options.py
+++ b/runloft/lab/soak/options.py
@@ -28,6 +28,12 @@
     soak.add_argument(
         "--troubles", default="", metavar="KIND,...", help="only these kinds of faults (default all)"
     )
+    soak.add_argument(
+        "--departures",
+        default="",
+        metavar="MS,...",
+        help="instead of random faults: clients that leave, and process stops of so many ms (0: none)",
+    )
     soak.add_argument("--schedule", metavar="FILE", help="run this schedule instead of seeds")
     soak.add_argument(
         "--shrink",
--- a/runloft/lab/soak/schedule.py
+++ b/runloft/lab/soak/schedule.py
@@ -36,6 +36,7 @@
     PROCESS_KILL = "process-kill"
     PROCESS_RELOAD = "process-reload"
     PROCESS_PAUSE = "process-pause"
+    PROCESS_STOP = "process-stop"  # not drawn: the amount is the length of each stop in seconds
     SYSTEM_ACCEPT = "system-accept"
     SYSTEM_CONNECT = "system-connect"
     SYSTEM_SOCKET = "system-socket"
@@ -66,7 +67,7 @@
         return self.partition("-")[0]
 
 
-ALL_KINDS = tuple(FaultKind)
+ALL_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.PROCESS_STOP)
 SYSTEM_KINDS = frozenset(kind for kind in FaultKind if kind.family == "system")
 NODE_KINDS = frozenset(kind for kind in FaultKind if kind.family == "node")
 
--- a/runloft/lab/soak/seed_result.py
+++ b/runloft/lab/soak/seed_result.py
@@ -30,6 +30,7 @@
     outcomes: dict[str, int]  # number of requests by outcome
     lag_s: float
     violations: tuple[Violation, ...]
+    held: tuple[Violation, ...] = ()  # attempts whose process was held up in the write's system call
 
     @property
     def verdict(self) -> Verdict:
@@ -48,4 +49,5 @@
             "endings": self.outcomes,
             "lag_s": self.lag_s,
             "violations": [asdict(violation) for violation in self.violations],
+            "held": [asdict(violation) for violation in self.held],
         }
--- a/runloft/upstream/connection.py
+++ b/runloft/upstream/connection.py
@@ -26,6 +26,8 @@
 
 log = structlog.get_logger()
 NANOSECONDS_PER_MS = 1_000_000
+MAX_PERMISSION_AGE_NS = 2_000_000  # an older permission to send is asked for again
+MAX_PERMISSIONS = 3  # asked for in a row
 
 
 class Peer(NamedTuple):
@@ -119,24 +121,45 @@
             self._start_attempt(effect)
 
     def _start_attempt(self, effect: Dispatch) -> None:
-        """Write the attempt, or withdraw it if it may no longer be sent."""
+        """Write the attempt, or withdraw it if it may no longer be sent.
+
+        If the process is held up after a permission, it asks again.
+        """
         pool = self.pool
-        wait_ns = pool.permitted_wait_ns(effect.attempt)
-        if not wait_ns:
-            self.finish_attempt(AttemptWithdrawn(effect.attempt))
-            return
-        try:
-            chunks = self.encode_attempt(effect, wait_ns)
-        except ValueError as error:
-            log.warning("request can't be encoded for its node", node=self.peer.node_uid, error=str(error))
-            self.connected = False  # makes the outcome CONNECT_FAILED: no byte of the attempt was sent
-            self.close()
-            return
-        if trace.enabled:
-            wait_ms = wait_ns // NANOSECONDS_PER_MS
-            trace("attempt started", attempt=effect.attempt, connection=self.number, wait_ms=wait_ms)
-        pool.begin_attempt(effect.attempt, wait_ns, pool.clock())
+        for _ in range(MAX_PERMISSIONS):
+            permitted_at = pool.clock()
+            wait_ns = pool.permitted_wait_ns(effect.attempt)
+            if not wait_ns:
+                self.finish_attempt(AttemptWithdrawn(effect.attempt))
+                return
+            try:
+                chunks = self.encode_attempt(effect, wait_ns)
+            except ValueError as error:
+                self._reject_attempt(error)
+                return
+            started_at = pool.clock()
+            if started_at - permitted_at <= MAX_PERMISSION_AGE_NS:
+                break
+        pool.begin_attempt(effect.attempt, wait_ns, started_at)
         self.writer.write(chunks)
+        if trace.enabled:
+            self._trace_start(effect.attempt, wait_ns, started_at)
+
+    def _reject_attempt(self, error: ValueError) -> None:
+        """Close the connection, since the protocol can't express the request."""
+        log.warning("request can't be encoded for its node", node=self.peer.node_uid, error=str(error))
+        self.connected = False  # makes the outcome CONNECT_FAILED: no byte of the attempt was sent
+        self.close()
+
+    def _trace_start(self, attempt: int, wait_ns: int, started_at: int) -> None:
+        """Trace that an attempt was written, and how long that took since the last look at the clock."""
+        trace(
+            "attempt started",
+            attempt=attempt,
+            connection=self.number,
+            wait_ms=wait_ns // NANOSECONDS_PER_MS,
+            held_ms=(self.pool.clock() - started_at) // NANOSECONDS_PER_MS,
+        )
 
     def _request_written(self) -> None:
         """Post that the attempt's last byte was written, if accounts are kept."""
--- a/tests/lab/soak/test_schedule.py
+++ b/tests/lab/soak/test_schedule.py
@@ -8,7 +8,8 @@
 from hypothesis import strategies as st
 
 from runloft.lab.soak import schedule as schedules
-from runloft.lab.soak.schedule import ScheduleError, draw, read_schedule
+from runloft.lab.soak.departures import draw_departures
+from runloft.lab.soak.schedule import ALL_KINDS, FaultKind, ScheduleError, draw, read_schedule
 
 
 @given(st.integers(0, 10_000), st.integers(1, 40))
@@ -34,3 +35,15 @@
     with pytest.raises(ScheduleError, match="not a valid schedule file"):
         read_schedule(str(path))
     assert len(drawn.without(drawn.faults[0]).faults) == len(drawn.faults) - 1
+
+
+def test_departures_last_as_long_as_the_run_and_depend_on_the_stops_alone():
+    held, free = draw_departures(1, 2, 8.0, 0.15), draw_departures(1, 2, 8.0, 0.0)
+    assert {fault.for_s for fault in held.faults} == {8.0}
+    stops = [fault for fault in held.faults if fault.kind is FaultKind.PROCESS_STOP]
+    assert [(stop.target, stop.amount) for stop in stops] == [(0, 0.15), (1, 0.15)]
+    assert free.faults == tuple(fault for fault in held.faults if fault not in stops)
+
+
+def test_stops_are_not_drawn_among_random_faults():
+    assert FaultKind.PROCESS_STOP not in ALL_KINDS
--- a/tests/upstream/test_first_byte.py
+++ b/tests/upstream/test_first_byte.py
@@ -9,6 +9,7 @@
     Shed,
 )
 from runloft.decisions.contract import ListKind, NodeState
+from runloft.upstream.resp_connection import RespConnection
 from tests.support.driver import MS
 from tests.support.standins import reset, settings
 from tests.support.upstream_scene import BUSY, ID, NO_CANCELLATION, run_scenario, until
@@ -158,3 +159,30 @@
     rows = settings()["Classes"]
     classes = [rows[0] | {"Effect": "fragile"}, rows[1]]
     run_scenario(monkeypatch, scenario, Classes=classes)
+
+
+@pytest.mark.parametrize("disconnected", [False, True])
+def test_a_hold_after_the_permission_has_it_asked_for_again(monkeypatch, disconnected):
+    """Guards against an attempt for a client that left while the process was held up before the write."""
+    original = RespConnection.encode_attempt
+
+    async def scenario(harness):
+        holds = iter([150])
+
+        def encode_attempt(self, effect, wait_ns):
+            if hold_ms := next(holds, 0):
+                harness.now += hold_ms * MS
+                sink.disconnected = disconnected
+            return original(self, effect, wait_ns)
+
+        monkeypatch.setattr(RespConnection, "encode_attempt", encode_attempt)
+        sink = harness.receive_request(2000)
+        harness.may_connect.set()
+        conn = await harness.accept_at_node()
+        if disconnected:
+            await until(lambda: harness.runner.events)
+            assert isinstance(harness.runner.events[0], AttemptWithdrawn)
+        else:
+            assert b"d=1850" in await harness.read_at_node(conn)
+
+    run_scenario(monkeypatch, scenario)
