Keep a quarter of a second between the exit and SIGKILL, with short deadlines too

Cause: the last stage ended 0.1 s before SIGKILL, the stages counted from when the event loop noticed the signal, and the first 0.5 s were spent on accepting alone, so that with deadlines below 150 ms all later stages began at once.

lab shutdowns draws deadlines of 50 ms to 3 s, up to 500 clients that keep using their connections, slow nodes and series of signals. The new tests need the schedule and the request's time, so they don't run on the code before.

--- a/runloft/arguments.py
+++ b/runloft/arguments.py
@@ -47,6 +47,7 @@
     scale_options.add_capacity_parser(actions)
     soak_options.add_parser(actions)
     crowd_options.add_parser(actions)
+    crowd_options.add_shutdowns_parser(actions)
 
 
 def _add_scenario_parser(actions: Subparsers) -> None:
--- a/runloft/lab/crowd/commands.py
+++ b/runloft/lab/crowd/commands.py
@@ -8,6 +8,7 @@
 from runloft.config.tool.output import usage_error
 from runloft.lab.crowd.forms import AnswerCounts, CrowdForm
 from runloft.lab.crowd.run import CrowdPlay, CrowdResult, run_play
+from runloft.lab.crowd.shutdown import ShutdownResult, draw_shutdown, run_shutdown
 
 
 def run(options: argparse.Namespace) -> int:
@@ -27,6 +28,31 @@
     return 0 if all(has_passed(result) for result in results) else 1
 
 
+def run_shutdowns(options: argparse.Namespace) -> int:
+    """Play the shutdown of each seed; return 0 if all passed, 2 for invalid options, else 1."""
+    first, _, last = options.seeds.partition("-")
+    if not first.isdigit() or not (last or first).isdigit():
+        return usage_error(f"--seeds {options.seeds}: expected a number or a range such as 1-50")
+    results = []
+    for seed in range(int(first), int(last or first) + 1):
+        results.append(run_shutdown(draw_shutdown(seed)))
+        print(shutdown_line(results[-1]), flush=True)
+    return 0 if all(result.has_passed for result in results) else 1
+
+
+def shutdown_line(result: ShutdownResult) -> str:
+    """Return one line about a shutdown."""
+    play = result.play
+    signals = ",".join(f"{number.name}@{after_s:.2f}" for after_s, number in play.extra_signals)
+    exit_s = "killed" if result.exit_s is None else f"exit after {result.exit_s:.3f}"
+    return (
+        f"{'ok  ' if result.has_passed else 'FAIL'} seed {play.seed}: deadline {play.deadline_ms} ms, "
+        f"{play.clients} clients, node {play.node_ms:g} ms, signals {signals or 'none'}: {exit_s} of "
+        f"{play.kill_s:.2f} s, code {result.exit_code}, answers {_counts(result.answers)}, "
+        f"violations {result.violations}"
+    )
+
+
 def plays_from(options: argparse.Namespace) -> Iterator[CrowdPlay]:
     """Yield the plays of all combinations; raise ValueError for an invalid option."""
     forms = [CrowdForm(name) for name in options.forms.split(",") if name] or list(CrowdForm)
--- a/runloft/lab/crowd/forms.py
+++ b/runloft/lab/crowd/forms.py
@@ -62,9 +62,9 @@
 _numbers = itertools.count(1)
 
 
-def read_request() -> bytes:
-    """Return a read with an id of its own."""
-    return encode_command((b"IO.IN", *_request_words(READ_CLASS, 1500)))
+def read_request(wait_ms: int = 1500) -> bytes:
+    """Return a read with an id of its own, whose client waits for so long."""
+    return encode_command((b"IO.IN", *_request_words(READ_CLASS, wait_ms)))
 
 
 def write_request(value_bytes: int) -> bytes:
--- a/runloft/lab/crowd/options.py
+++ b/runloft/lab/crowd/options.py
@@ -24,3 +24,17 @@
     )
     crowd.add_argument("--reloads", action="store_true", help="send SIGHUP every second")
     crowd.add_argument("--output", metavar="FILE", help="append a JSON line for each play")
+
+
+def add_shutdowns_parser(actions: "argparse._SubParsersAction[argparse.ArgumentParser]") -> None:
+    """Add the sub-command ``shutdowns``."""
+    shutdowns = actions.add_parser(
+        "shutdowns",
+        help="end processes under load, and kill them at the platform's earliest",
+        description=(
+            "Ends a real scheduler with SIGTERM and further signals for each seed, with deadlines of 50 ms "
+            "to 3 s, while up to 500 clients use their connections. Exit status 1: a process had to be "
+            "killed, did not exit with 0 or left a request unanswered."
+        ),
+    )
+    shutdowns.add_argument("--seeds", default="1", metavar="A-B", help="a seed or a range (default 1)")
--- a/runloft/lab/crowd/process.py
+++ b/runloft/lab/crowd/process.py
@@ -16,7 +16,7 @@
 
 from runloft.lab.errors import LaboratoryError
 from runloft.lab.program_log import SERVING
-from runloft.lab.soak.scheduler_settings import ConfigDocument, process_document
+from runloft.lab.soak.scheduler_settings import NS_PER_MS, ConfigDocument, process_document
 
 START_TIMEOUT_S = 10.0
 EXIT_TIMEOUT_S = 3.2  # the longest deadline of the settings, and 0.7 s
@@ -36,6 +36,7 @@
     port: int
     memory_mb: int
     descriptors: int
+    deadline_ms: int = 0  # of all classes; 0: those of the soak
     process: anyio.abc.Process | None = None
     peaks_mb: list[float] = field(default_factory=list)  # of each process that has ended
 
@@ -48,6 +49,9 @@
         """Start the process and wait until it serves; raise ProcessStartError if it doesn't."""
         document = process_document(0, self.port, discovery, 1, known_nodes)
         document["limits"] = {"cores": 1.0, "memory_mb": self.memory_mb, "sockets": self.descriptors}
+        for request_class in document["settings"]["Classes"] if self.deadline_ms else ():
+            request_class["HardLimit"] = self.deadline_ms * NS_PER_MS
+            request_class["Target"] = self.deadline_ms * NS_PER_MS // 2
         config = self.folder / "config.json"
         config.write_text(json.dumps(document))
         log_start = self.log.stat().st_size if self.log.exists() else 0
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -35,7 +35,7 @@
 from runloft.service.reload import Reload
 from runloft.service.runner import Runner
 from runloft.service.shutdown import graceful_shutdown
-from runloft.service.signals import handle_signals, received_signals
+from runloft.service.signals import StopRequest, handle_signals, received_signals
 from runloft.upstream.connection import UpstreamConnection
 from runloft.upstream.pool import ConnectionPool
 from runloft.upstream.resp_connection import RespConnection
@@ -79,8 +79,9 @@
         agreement = new_agreement(config, clock)
         config = agreement.start()
     runner = Runner(new_core(config, clock, timers), timers, clock, clock.error_ns)
-    server = Server(config, runner, agreement)
-    with received_signals() as received:
+    stop_request = StopRequest(clock)
+    server = Server(config, runner, agreement, stop_request)
+    with received_signals(stop_request) as received:
         await server.run(config_path, received, progress)
     log.info(
         "totals since start",
@@ -157,12 +158,19 @@
     `run` closes everything that it opened, except after a failed start, which ends the process.
     """
 
-    def __init__(self, config: Config, runner: Runner, agreement: "AgreementClient | None") -> None:
+    def __init__(
+        self,
+        config: Config,
+        runner: Runner,
+        agreement: "AgreementClient | None",
+        stop_request: StopRequest,
+    ) -> None:
         self.config = config
         self.runner = runner
         self.agreement = agreement
         self.tasks = anyio.create_task_group()  # entered once all sockets are open; no task runs before
         self.stop_requested = anyio.Event()
+        self.stop_request = stop_request
         self.endpoints: list[ListeningEndpoint] = []
         self.store: PlacementStore | None = None
         self.admin: AdminServer | None = None
@@ -221,7 +229,7 @@
                 tasks.start_soon(self.agreement.run)
             tasks.start_soon(handle_signals, received, reload, self.stop_requested)
             await self.stop_requested.wait()
-            await graceful_shutdown(self.endpoints, self.runner)
+            await graceful_shutdown(self.endpoints, self.runner, self.stop_request.at)
             await self.close()
             tasks.cancel_scope.cancel()
 
--- a/runloft/service/signals.py
+++ b/runloft/service/signals.py
@@ -20,13 +20,29 @@
     signal.signal(signal.SIGTERM, lambda *_: sys.exit(0))
 
 
+class StopRequest:
+    """When the first signal came that asks for the shutdown, however late the event loop notices it."""
+
+    def __init__(self, clock: Callable[[], int]) -> None:
+        self.at: int | None = None
+        self._clock = clock
+
+    def record(self, *_: object) -> None:
+        """Record the time of the first signal; the interpreter calls this between two instructions."""
+        if self.at is None:
+            self.at = self._clock()
+
+
 @contextmanager
-def received_signals() -> Iterator[AsyncIterator[signal.Signals]]:
+def received_signals(stop_request: StopRequest) -> Iterator[AsyncIterator[signal.Signals]]:
     """Receive the handled signals in the block; leave them blocked if the block ends without an exception.
 
     A SIGHUP that is pending since the start is delivered on entry.
     """
     with anyio.open_signal_receiver(*HANDLED_SIGNALS) as received:
+        # The receiver is told by the interpreter's wake-up descriptor, whatever the handler is.
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, stop_request.record)
         signal.pthread_sigmask(signal.SIG_UNBLOCK, (signal.SIGHUP,))
         yield received
         # From here on the process only exits: a further signal must not change its exit code.
--- a/tests/service/test_graceful_shutdown.py
+++ b/tests/service/test_graceful_shutdown.py
@@ -1,5 +1,6 @@
 """Graceful shutdown: clients are served until shortly before SIGKILL; then all requests are answered."""
 
+import signal
 import socket
 from dataclasses import dataclass
 from types import SimpleNamespace
@@ -21,7 +22,8 @@
 from runloft.decisions.contract import AttemptOutcome, FailRequest, Idempotency, ListKind, ShedRequest
 from runloft.service.interfaces import ListeningEndpoint
 from runloft.service.runner import Runner
-from runloft.service.shutdown import OPEN_REQUEST_GRACE_NS, graceful_shutdown
+from runloft.service.shutdown import EXIT_RESERVE_NS, OPEN_REQUEST_GRACE_NS, graceful_shutdown
+from runloft.service.signals import StopRequest
 from tests.support.client_sockets import open_descriptor
 from tests.support.core_harness import CoreHarness
 from tests.support.driver import MS, SECOND, Host, request_class, settings
@@ -42,6 +44,7 @@
         self.stopped_at = None
         self.full_until = 0
         self.never_disconnects = False
+        self.reads_after_final_stop = True
 
     def accept_waiting(self, listening_socket):
         assert listening_socket.fileno() >= 0
@@ -50,6 +53,8 @@
 
     def stop(self, final=False):
         self.stopped_at = self.stopped_at or self.scene.now
+        if final and not self.reads_after_final_stop:
+            self.next_at = float("inf")
         self.close_if_idle()
 
     def close_if_idle(self):
@@ -114,14 +119,15 @@
         self.runner.post(NodeListUpdate(ListKind.CACHED, (NodeUpdate("s-1", "127.0.0.1:1", 0),)))
         self.listener = OneClientListener(self, interval, deadline * MS)
 
-    async def shut_down(self):
+    async def shut_down(self, requested_at=None):
         """Shut down gracefully; return the time taken in nanoseconds."""
         started_at = self.now
         done = anyio.Event()
 
         async def run_shutdown():
             with socket.socket() as sock:
-                await graceful_shutdown([ListeningEndpoint(self.listener, sock)], self.runner)
+                endpoints = [ListeningEndpoint(self.listener, sock)]
+                await graceful_shutdown(endpoints, self.runner, requested_at)
             done.set()
 
         async with anyio.create_task_group() as group:
@@ -169,6 +175,32 @@
     assert not scene.core.by_sink
 
 
+@pytest.mark.parametrize("deadline", [50, 100, 200, 400, 3000])
+@pytest.mark.parametrize("noticed_ms", [0, 150])
+def test_every_stage_ends_within_the_platforms_span_with_a_reserve(deadline, noticed_ms):
+    """Guards against an exit after SIGKILL on a busy machine, above all with short deadlines."""
+    scene = Scene(deadline, interval=20 * MS)
+    scene.listener.never_disconnects = True
+    scene.listener.reads_after_final_stop = False
+    requested_at = scene.now
+    scene.now += noticed_ms * MS  # the event loop was busy when the signal came
+    duration = anyio.run(scene.shut_down, requested_at)
+    kill_ns = deadline * MS + KILL_NS
+    assert noticed_ms * MS + duration <= kill_ns - EXIT_RESERVE_NS + 30 * MS
+    assert scene.closed_at <= requested_at + kill_ns - EXIT_RESERVE_NS
+    assert scene.closed_at >= requested_at + 400 * MS  # clients connect for so long
+    assert not scene.core.by_sink
+
+
+def test_a_signal_counts_from_when_it_came(monkeypatch):
+    now = 7
+    request = StopRequest(lambda: now)
+    request.record(signal.SIGTERM, None)
+    now = 9
+    request.record(signal.SIGINT, None)
+    assert request.at == 7
+
+
 def test_shutdown_ends_as_soon_as_the_last_client_disconnects():
     scene = Scene(30_000, interval=60 * SECOND)
     scene.listener.send_if_due = scene.listener.clients.clear
