Limit what nodes' heads and nested commands take while they are parsed

A response's head of 32 KiB may have thousands of fields, each of which takes many times its bytes: it is limited to 100 lines before it is parsed, as requests' heads are (one function for both). A client's command may nest arrays four levels deep, 65,536 items in 72 KiB, all of which were parsed before it was rejected: the first nested array rejects it now.

--- a/runloft/listeners/objects/limits.py
+++ b/runloft/listeners/objects/limits.py
@@ -1,7 +1,6 @@
 """Time, count and size limits of the object API's listener and its connections."""
 
 MAX_HEAD_BYTES = 16 << 10
-MAX_HEAD_LINES = 100  # a parsed field takes many times the memory of its bytes
 MAX_DISCARDED_BYTES = 64 << 10  # of the body of a request that is answered early
 READ_AHEAD_MEMORY_DIVISOR = 16  # spare memory divided by this: limit for all that is read ahead
 BODY_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for all bodies; others wait in sockets
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -1,6 +1,5 @@
 """The reading side of an object API connection: heads, bodies, and the client's disconnect."""
 
-import re
 import socket
 from collections import deque
 from contextlib import suppress
@@ -16,13 +15,12 @@
     IDLE_TIMEOUT_S,
     MAX_DISCARDED_BYTES,
     MAX_HEAD_BYTES,
-    MAX_HEAD_LINES,
 )
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.writing import ResponseWriter
+from runloft.net.http_heads import has_too_many_lines
 from runloft.net.timing import pause
 
-END_OF_HEAD = re.compile(rb"\n\r?\n")
 ReadEvent = h11.Event | type[h11.NEED_DATA] | type[h11.PAUSED]
 
 
@@ -137,14 +135,7 @@
 
     def _parse_event(self) -> ReadEvent:
         """Return the next event of the received bytes; raise ObjectApiError if a head has too many lines."""
-        if self._protocol.their_state is h11.IDLE:
-            _check_head(self._protocol.trailing_data[0])
+        is_head = self._protocol.their_state is h11.IDLE
+        if is_head and has_too_many_lines(self._protocol.trailing_data[0]):
+            raise ObjectApiError(431, "InvalidRequest", "the head has too many fields", closes=True)
         return self._protocol.next_event()
-
-
-def _check_head(received: bytes) -> None:
-    """Raise ObjectApiError if the head, which may be incomplete, has too many lines to be parsed."""
-    end = END_OF_HEAD.search(received)
-    lines = received.count(b"\n", 0, end.start() + 1 if end else len(received))
-    if lines > MAX_HEAD_LINES:
-        raise ObjectApiError(431, "InvalidRequest", "the head has too many fields", closes=True)
--- a/runloft/net/resp2/commands.py
+++ b/runloft/net/resp2/commands.py
@@ -2,7 +2,7 @@
 
 from typing import NamedTuple
 
-from runloft.net.resp2.parsing import ARRAY, IncompleteError, RespError, ValueReader
+from runloft.net.resp2.parsing import ARRAY, MAX_DEPTH, IncompleteError, RespError, ValueReader
 
 
 class ParsedCommand(NamedTuple):
@@ -23,7 +23,7 @@
         raise RespError("expected an array of bulk strings")
     reader = ValueReader(data, start, end)
     try:
-        items = reader.read()
+        items = reader.read(depth=MAX_DEPTH - 1)  # nested arrays would be parsed for nothing
     except IncompleteError:
         return None
     if not isinstance(items, list):
--- a/runloft/upstream/http_connection.py
+++ b/runloft/upstream/http_connection.py
@@ -8,6 +8,7 @@
 from runloft.core.model import AttemptFinished, Dispatch, ResponseBuffered, StreamStarted
 from runloft.core.timers import TimerHandle
 from runloft.decisions.contract import AttemptOutcome
+from runloft.net.http_heads import has_too_many_lines
 from runloft.upstream.connection import UpstreamConnection
 from runloft.upstream.errors import UnwritableRequestError, UpstreamProtocolError
 from runloft.upstream.payloads import HttpPayload, wait_ms
@@ -37,7 +38,8 @@
         """Return the request's head and body as chunks."""
         payload = effect.payload
         assert isinstance(payload, HttpPayload)
-        if self.protocol is None:
+        # Its state is another one if an attempt was encoded, but not written.
+        if self.protocol is None or self.protocol.our_state is not h11.IDLE:
             self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES)
         self.stream = None
         self.error_outcome = None
@@ -67,6 +69,8 @@
         inbox.start = inbox.end
         inbox.shrink()
         self._restart_stall_timer()
+        if protocol.their_state is h11.SEND_RESPONSE and has_too_many_lines(protocol.trailing_data[0]):
+            raise UpstreamProtocolError("the response's head has too many fields", self.peer.endpoint)
         try:
             is_over = self._process_events(protocol)
         except h11.ProtocolError as error:
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -8,7 +8,8 @@
 
 from runloft.core.model import Failed
 from runloft.decisions.contract import AttemptOutcome
-from runloft.listeners.objects.limits import MAX_HEAD_BYTES, MAX_HEAD_LINES
+from runloft.listeners.objects.limits import MAX_HEAD_BYTES
+from runloft.net.http_heads import MAX_HEAD_LINES
 from tests.support.listener_harness import OBJECT_REQUEST, ObjectHarness, run_with_listener
 
 REQUEST_LINE = b"GET /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\n"
