Tell in the log and in metrics what uses memory and what limits the clients

Operators couldn't see whether limits.sockets or limits.memory_mb decides how many clients are let in. The line 'serving' has max_clients and limited_by; metrics tell the resident size, its limit, the capacity, what each owner uses by estimate, and each listener's limit with its cause.

--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -3,6 +3,7 @@
 import errno
 import socket
 from collections.abc import Callable, Sequence
+from enum import StrEnum
 from typing import Generic, TypeVar
 
 import anyio
@@ -46,6 +47,14 @@
     )
 )
 
+
+class ClientLimit(StrEnum):
+    """What limits the number of a listener's connections; the value is a metric label."""
+
+    MEMORY = "memory"
+    DESCRIPTORS = "descriptors"
+
+
 ClientT = TypeVar("ClientT", bound=ClientConnection)
 
 
@@ -85,7 +94,7 @@
         by_sockets = int(config.max_sockets * CLIENT_FRACTION) // listener_count
         client_memory = int(config.spare_bytes * CLIENT_MEMORY_FRACTION) // listener_count
         by_memory = max(MIN_CLIENTS, client_memory // self.connection_bytes)
-        self.is_limited_by_memory = by_memory < by_sockets
+        self.clients_limited_by = ClientLimit.MEMORY if by_memory < by_sockets else ClientLimit.DESCRIPTORS
         self.max_clients = min(by_sockets, by_memory)
         self.pressure_threshold = int(self.max_clients * PRESSURE_FRACTION / CLIENT_FRACTION)
 
--- a/runloft/service/interfaces.py
+++ b/runloft/service/interfaces.py
@@ -41,6 +41,14 @@
 class Listener(Configurable, Protocol):
     """The client side of one protocol."""
 
+    @property
+    def max_clients(self) -> int:
+        """The number of connections that are accepted at most."""
+
+    @property
+    def clients_limited_by(self) -> str:
+        """What ``max_clients`` follows from, as a metric label."""
+
     @property
     def clients(self) -> Collection[object]:
         """The open client connections."""
@@ -58,6 +66,15 @@
         """Close connections as they become idle; with `final`, those of clients that keep sending too."""
 
 
+@dataclass(frozen=True, slots=True)
+class ClientConnectionLimit:
+    """How many connections a listener accepts, and whether memory or descriptors limit them."""
+
+    listener: str
+    limited_by: str
+    max_clients: int
+
+
 @dataclass(frozen=True, slots=True)
 class ListeningEndpoint:
     """A listener and the socket from which it accepts connections."""
--- a/runloft/service/metrics.py
+++ b/runloft/service/metrics.py
@@ -4,7 +4,7 @@
 as a whole, and a scrape copies the tables that are modified in place with a single atomic operation.
 """
 
-from collections.abc import Iterator
+from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
@@ -15,6 +15,8 @@
 from runloft.core.counters import COUNTERS
 from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.reducer import Core
+from runloft.net.process_memory import ProcessMemory
+from runloft.service.interfaces import ClientConnectionLimit
 
 if TYPE_CHECKING:  # prevents the import of the store's client, which metrics don't need
     from runloft.agreement.status import AgreementStatus
@@ -39,9 +41,17 @@
 class MetricsCollector:
     """Collects all metrics of one scheduler."""
 
-    def __init__(self, core: Core, status: "AgreementStatus | None") -> None:
+    def __init__(
+        self,
+        core: Core,
+        status: "AgreementStatus | None",
+        memory: ProcessMemory | None = None,
+        client_limits: Callable[[], Iterable[ClientConnectionLimit]] = tuple,
+    ) -> None:
         self.core = core
         self.status = status
+        self.memory = memory
+        self.client_limits = client_limits
 
     def collect(self) -> Iterator[Metric]:
         """Yield all metrics."""
@@ -49,12 +59,39 @@
             "runloft_open_requests", "Requests that have no final answer yet.", len(self.core.requests)
         )
         yield from _reason_metrics()
+        if self.memory is not None:
+            yield from _memory_metrics(self.memory, self.client_limits())
         if isinstance(self.core.observer, Ledger):
             yield from _account_metrics(self.core.observer)
         if self.status is not None:
             yield from _agreement_metrics(self.status)
 
 
+def _memory_metrics(
+    memory: ProcessMemory, client_limits: Iterable[ClientConnectionLimit]
+) -> Iterator[Metric]:
+    """Yield the resident size, its limit, what each owner uses, and the limits of connections."""
+    yield _gauge("runloft_resident_bytes", "Resident size of the process.", memory.resident_bytes)
+    yield _gauge("runloft_memory_limit_bytes", "limits.memory_mb in bytes.", memory.limit_bytes)
+    yield _gauge(
+        "runloft_memory_capacity_bytes",
+        "What connections, requests and buffers may use together.",
+        memory.capacity_bytes,
+    )
+    used = GaugeMetricFamily("runloft_memory_used_bytes", "Estimated memory by owner.", labels=["owner"])
+    for owner, used_bytes in memory.used_by_owner().items():
+        used.add_metric([str(owner)], used_bytes)
+    yield used
+    limits = GaugeMetricFamily(
+        "runloft_max_clients",
+        "Client connections that are accepted, and what limits them.",
+        labels=["listener", "limited_by"],
+    )
+    for limit in client_limits:
+        limits.add_metric([limit.listener, limit.limited_by], limit.max_clients)
+    yield limits
+
+
 def _gauge(name: str, documentation: str, value: float) -> Metric:
     gauge = GaugeMetricFamily(name, documentation)
     gauge.add_metric([], value)
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -1,7 +1,7 @@
 """The scheduler process: construction of its components, start and shutdown."""
 
 import signal
-from collections.abc import AsyncIterator, Callable
+from collections.abc import AsyncIterator, Callable, Iterator
 from dataclasses import replace
 from functools import partial
 from typing import TYPE_CHECKING
@@ -30,7 +30,12 @@
     invalid_setting_errors,
     packages_required_by,
 )
-from runloft.service.interfaces import Configurable, Listener, ListeningEndpoint
+from runloft.service.interfaces import (
+    ClientConnectionLimit,
+    Configurable,
+    Listener,
+    ListeningEndpoint,
+)
 from runloft.service.memory_monitor import MemoryMonitor
 from runloft.service.reload import Reload
 from runloft.service.runner import Runner
@@ -354,8 +359,15 @@
     def _log_endpoints(self) -> None:
         for endpoint in self.endpoints:
             host, port = endpoint.socket.getsockname()
-            protocol = type(endpoint.listener).__name__
-            log.info("serving", name=self.config.name, front=protocol, at=f"{host}:{port}")
+            listener = endpoint.listener
+            log.info(
+                "serving",
+                name=self.config.name,
+                front=type(listener).__name__,
+                at=f"{host}:{port}",
+                max_clients=listener.max_clients,
+                limited_by=str(listener.clients_limited_by),
+            )
 
     def _new_watch(self) -> Watch:
         config = self.config
@@ -393,4 +405,11 @@
             from runloft.service.admin import AdminServer
             from runloft.service.metrics import MetricsCollector
         status = self.agreement.status if self.agreement else None
-        self.admin = AdminServer.open(address, MetricsCollector(self.runner.core, status))
+        collector = MetricsCollector(self.runner.core, status, self.process_memory, self._client_limits)
+        self.admin = AdminServer.open(address, collector)
+
+    def _client_limits(self) -> Iterator[ClientConnectionLimit]:
+        for endpoint in self.endpoints:
+            listener = endpoint.listener
+            limited_by = str(listener.clients_limited_by)
+            yield ClientConnectionLimit(type(listener).__name__, limited_by, listener.max_clients)
--- a/tests/service/test_metrics.py
+++ b/tests/service/test_metrics.py
@@ -5,10 +5,14 @@
 import pytest
 from prometheus_client import CollectorRegistry, generate_latest
 
+from runloft.config.platform_config import config_from_json
 from runloft.core.counters import COUNTERS, CounterName, Counters
 from runloft.core.invariants import INVARIANTS, Violation
+from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.service import metrics
+from runloft.service.interfaces import ClientConnectionLimit
 from tests.support.commands import OK, read_command
+from tests.support.core_harness import CoreHarness
 from tests.support.standins import Discovery, Program, RespNode, config, entry
 
 
@@ -86,3 +90,17 @@
     counters.add(CounterName.CLIENT_CONNECTIONS_CLOSED, "idle")
     assert counters.totals() == {"requests_started": 0, "client_connections_closed": {"idle": 2}}
     assert isinstance(COUNTERS, Counters) and not INVARIANTS.totals()
+
+
+def test_metrics_tell_what_uses_memory_and_what_limits_the_clients():
+    memory = ProcessMemory(lambda: 31 << 20)
+    memory.add_owner(MemoryOwner.CLIENT_CONNECTIONS, lambda: 12_288)
+    memory.configure(config_from_json(config("127.0.0.1:1", [])))
+    memory.sample()
+    limits = [ClientConnectionLimit("RespListener", "memory", 100)]
+    registry = CollectorRegistry(auto_describe=False)
+    registry.register(metrics.MetricsCollector(CoreHarness().core, None, memory, lambda: limits))
+    value = registry.get_sample_value
+    assert value("runloft_resident_bytes") == 31 << 20
+    assert value("runloft_memory_used_bytes", {"owner": "client connections"}) == 12_288
+    assert value("runloft_max_clients", {"limited_by": "memory", "listener": "RespListener"}) == 100
