Serve with a warning where only the pages of files exceed the memory limit

Change: the start fails only if memory without these pages is over the limit, otherwise a warning tells the size, the limit and the least that would do.

--- a/runloft/net/resident_size.py
+++ b/runloft/net/resident_size.py
@@ -3,13 +3,26 @@
 import os
 from pathlib import Path
 
-STATM = Path("/proc/self/statm")  # proc(5): sizes in pages; the second one is the resident size
+# proc(5): sizes in pages; the second one is the resident size, the third its part that is shared with files.
+STATM = Path("/proc/self/statm")
 PAGE_BYTES = os.sysconf("SC_PAGE_SIZE")
 
 
 def resident_bytes() -> int | None:
     """Return the resident size in bytes, or None if the kernel doesn't tell it."""
+    return _sizes()[0]
+
+
+def anonymous_bytes() -> int | None:
+    """Return the resident size without the pages of files, or None if the kernel doesn't tell it."""
+    resident, shared = _sizes()
+    return None if resident is None or shared is None else resident - shared
+
+
+def _sizes() -> tuple[int | None, int | None]:
+    """Return the resident size in bytes, and its part that is shared with files."""
     try:
-        return int(STATM.read_bytes().split()[1]) * PAGE_BYTES
-    except (OSError, IndexError, ValueError):
-        return None
+        _, resident, shared = STATM.read_bytes().split()[:3]
+        return int(resident) * PAGE_BYTES, int(shared) * PAGE_BYTES
+    except (OSError, ValueError):
+        return None, None
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -21,6 +21,7 @@
 from runloft.listeners.resp import RespListener
 from runloft.net.listening import open_listener_with_retry
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
+from runloft.net.resident_size import anonymous_bytes
 from runloft.service.clock import MonotonicClock
 from runloft.service.errors import (
     InvalidSettingError,
@@ -134,16 +135,22 @@
     return memory
 
 
-def check_memory_limit(config: Config, program_bytes: int) -> None:
-    """Raise InvalidSettingError if the program itself takes more than the limit."""
-    if program_bytes <= config.memory_bytes:
+def check_memory_limit(config: Config, program_bytes: int, anonymous: int | None) -> None:
+    """Log a warning if the limit leaves too little besides the program's own size.
+
+    Raise InvalidSettingError if the program takes more than the limit even without the pages of files, which
+    the platform may count for all processes of a machine together.
+    """
+    needed = program_bytes + config.reserved_bytes + MIN_SPARE_BYTES
+    if needed <= config.memory_bytes:
         return
-    least_mb = -(-(program_bytes + config.reserved_bytes + MIN_SPARE_BYTES) // MB)
     reason = (
         f"the program takes {program_bytes / MB:.1f} MB at its start, the limit is {config.memory_mb} MB; "
-        f"at least {least_mb} is needed"
+        f"at least {-(-needed // MB)} is needed"
     )
-    raise InvalidSettingError("limits.memory_mb", reason)
+    if anonymous is not None and anonymous > config.memory_bytes:
+        raise InvalidSettingError("limits.memory_mb", reason)
+    log.warning("memory limit too small", key="limits.memory_mb", reason=reason)
 
 
 def node_endpoint(node: NodeUpdate) -> str:
@@ -331,7 +338,7 @@
         resident = self.process_memory.sample()
         if resident is None:
             return
-        check_memory_limit(self.config, resident)
+        check_memory_limit(self.config, resident, anonymous_bytes())
         self.config = replace(self.config, program_bytes=resident)
         self.process_memory.configure(self.config)
         self.runner.core.bounds = self.config.bounds
--- a/tests/service/test_startup_errors.py
+++ b/tests/service/test_startup_errors.py
@@ -15,7 +15,8 @@
 
 from runloft.errors import RunloftError
 from runloft.service.errors import ListenAddress, ListenError, MissingPackageError, packages_required_by
-from tests.support.standins import config, entry
+from tests.support.commands import PING, PONG
+from tests.support.standins import Program, config, entry
 
 RETRY = "opening a listening socket failed, will retry"
 ADDRESS_IN_USE = f"Address already in use (EADDRINUSE, errno {errno.EADDRINUSE})"
@@ -242,3 +243,16 @@
         line,
     )
     assert found and 10 < float(found[1]) < int(found[2])
+
+
+def test_a_memory_limit_that_the_pages_of_files_alone_exceed_is_warned_of(tmp_path):
+    """Guards against a refused start where the platform counts these pages once for all processes."""
+    raw = platform_config() | {"limits": {"cores": 1.0, "memory_mb": 24, "sockets": 256}}
+    program = Program(raw, tmp_path / "config.json")
+    try:
+        with program.connect() as sock:
+            sock.sendall(PING)
+            assert sock.recv(99) == PONG
+        assert any("memory limit too small" in line and "limit is 24 MB" in line for line in program.log)
+    finally:
+        program.close()
