--- a/runloft/lab/scale/capacity_page/scheduler_rows.py
+++ b/runloft/lab/scale/capacity_page/scheduler_rows.py
@@ -34,7 +34,7 @@
         document=Document.DATA_PATH,
         budget=BudgetName.MEMORY,
         mechanism=mechanisms.LISTENER,
-        breaks_beyond="the machine's memory: that of idle clients is not included in the limit",
+        breaks_beyond="limits.memory_mb: idle clients are evicted, then others wait in the listen backlog",
     ),
     Row(
         role=Role.PATH,
@@ -43,7 +43,7 @@
         document=Document.DATA_PATH,
         budget=BudgetName.MEMORY,
         mechanism=mechanisms.LISTENER,
-        breaks_beyond="the machine's memory: that of idle clients is not included in the limit",
+        breaks_beyond="limits.memory_mb: idle clients are evicted, then others wait in the listen backlog",
     ),
     Row(
         role=Role.PATH,
