Count a crowd's requests from when its connection is read, and spare commands that wait here

Cause: plays shorter than the 4 s that crowds wait couldn't show an unanswered request, and longer ones counted requests on connections that still waited in the kernel. Change: clients of forms with requests begin with a PING.

--- a/runloft/lab/crowd/forms.py
+++ b/runloft/lab/crowd/forms.py
@@ -39,6 +39,9 @@
     MIXED = "mixed"
 
 
+REQUEST_FORMS = frozenset((CrowdForm.READS, CrowdForm.WRITES, CrowdForm.LATE_READER, CrowdForm.MIXED))
+
+
 @dataclass(slots=True)
 class AnswerCounts:
     """The requests that clients sent as a whole, by what came back."""
--- a/runloft/lab/crowd/run.py
+++ b/runloft/lab/crowd/run.py
@@ -11,7 +11,14 @@
 import anyio
 import anyio.abc
 
-from runloft.lab.crowd.forms import AnswerCounts, CrowdForm, play, read_answers, read_request
+from runloft.lab.crowd.forms import (
+    REQUEST_FORMS,
+    AnswerCounts,
+    CrowdForm,
+    play,
+    read_answers,
+    read_request,
+)
 from runloft.lab.crowd.process import CrowdProcess
 from runloft.lab.discovery import LabDiscovery
 from runloft.lab.node import LabNode, NodeKind
@@ -57,7 +64,7 @@
     crowd: AnswerCounts = field(default_factory=AnswerCounts)
     ordinary: AnswerCounts = field(default_factory=AnswerCounts)
     ordinary_seconds: list[float] = field(default_factory=list)
-    waited_in_kernel: int = 0  # connections of ordinary clients that were not read in time
+    waited_in_kernel: int = 0  # connections that were not read in time
     exit_code: int | None = None
     violations: str = ""
 
@@ -154,6 +161,9 @@
         while time.monotonic() < self.ends_at:
             try:
                 async with await self._connect() as stream:
+                    # A request counts as unanswered only if the scheduler reads its connection.
+                    if self.settings.form in REQUEST_FORMS and not await self._is_let_in(stream):
+                        continue
                     await play(self.settings.form, stream, self.result.crowd)
             except (*CONNECTION_ERRORS, TimeoutError, ExceptionGroup):
                 pass
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -131,12 +131,16 @@
         self.enforce_input_memory_limit()
 
     def evict_slow(self) -> None:
-        """Fail the commands that have been incomplete for longest, up to ``EVICTION_BATCH`` of them."""
+        """Fail the commands that have been incomplete for longest, up to ``EVICTION_BATCH`` of them.
+
+        A command whose next bytes are in the socket already is not slow: this process is.
+        """
         slow_since = self.clock() - SLOW_COMMAND_NS
         slow = [
             client
             for client in self.clients
-            if client.reader.has_been_incomplete_since(slow_since) and not client.is_closing
+            if client.reader.has_been_incomplete_since(slow_since)
+            and not (client.is_closing or client.has_unread_input())
         ]
         slow.sort(key=lambda client: client.reader.incomplete_since or 0)
         for client in slow[:EVICTION_BATCH]:
--- a/tests/listeners/test_resp_memory_bound.py
+++ b/tests/listeners/test_resp_memory_bound.py
@@ -106,6 +106,26 @@
     run_with_listener(RespHarness, scenario)
 
 
+def test_a_command_whose_next_bytes_have_arrived_is_not_slow():
+    """Guards against failing a client for the time that this process took to read its command."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(HALF_A_COMMAND)
+        (client,) = harness.listener.clients
+        await harness.wait_until(lambda: client.reader.incomplete_since)
+        harness.advance(SLOW_COMMAND_NS / MS)
+        sock.sendall(b"b")  # the event loop hasn't run since
+        harness.listener.evict_slow()
+        assert not client.is_closing
+        await let_tasks_run()
+        harness.listener.evict_slow()
+        assert client.is_closing
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
+
+
 def test_complete_commands_before_a_failed_one_are_answered():
     """Guards against a request that was read and never answered, when the one behind it fails."""
 
