Sum the account once for an accept, and share the parser of seed ranges

Found by reading the change again; behaviour stays, but for the empty range named below. An accept below the pressure threshold asked up to three times whether the listener is full, each of which sums over all owners: it asks once. lab shutdowns parsed seed ranges by itself, beside lab soak, and took an empty range such as 5-1 for a pass; both use parse_seeds now, which rejects it. Config.reserved_bytes only returned a constant. The shutdown's deadline was derived back from a later stage. No test changed. Processor time was not measured again.

--- a/runloft/config/settings.py
+++ b/runloft/config/settings.py
@@ -105,15 +105,10 @@
         """The limit of the resident size in bytes."""
         return self.memory_mb << 20
 
-    @property
-    def reserved_bytes(self) -> int:
-        """The part of the limit in bytes that is used by nothing that the program counts."""
-        return RESERVED_BYTES
-
     @property
     def spare_bytes(self) -> int:
         """The memory available to connections, requests, bodies and buffers together, in bytes."""
-        return max(MIN_SPARE_BYTES, self.memory_bytes - self.program_bytes - self.reserved_bytes)
+        return max(MIN_SPARE_BYTES, self.memory_bytes - self.program_bytes - RESERVED_BYTES)
 
     @property
     def bounds(self) -> Bounds:
--- a/runloft/lab/crowd/commands.py
+++ b/runloft/lab/crowd/commands.py
@@ -9,6 +9,7 @@
 from runloft.lab.crowd.forms import AnswerCounts, CrowdForm
 from runloft.lab.crowd.run import CrowdPlay, CrowdResult, run_play
 from runloft.lab.crowd.shutdown import ShutdownResult, draw_shutdown, run_shutdown
+from runloft.lab.soak.schedule import ScheduleError, parse_seeds
 
 
 def run(options: argparse.Namespace) -> int:
@@ -30,11 +31,12 @@
 
 def run_shutdowns(options: argparse.Namespace) -> int:
     """Play the shutdown of each seed; return 0 if all passed, 2 for invalid options, else 1."""
-    first, _, last = options.seeds.partition("-")
-    if not first.isdigit() or not (last or first).isdigit():
-        return usage_error(f"--seeds {options.seeds}: expected a number or a range such as 1-50")
+    try:
+        seeds = parse_seeds(options.seeds)
+    except ScheduleError as error:
+        return usage_error(str(error))
     results = []
-    for seed in range(int(first), int(last or first) + 1):
+    for seed in seeds:
         results.append(run_shutdown(draw_shutdown(seed)))
         print(shutdown_line(results[-1]), flush=True)
     return 0 if all(result.has_passed for result in results) else 1
--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -11,7 +11,7 @@
 from runloft.lab.soak.departures import draw_departures
 from runloft.lab.soak.playing import MAX_SHOWN_VIOLATIONS, Player
 from runloft.lab.soak.records import RequestOutcome
-from runloft.lab.soak.schedule import Schedule, ScheduleError, draw, parse_kinds, read_schedule
+from runloft.lab.soak.schedule import Schedule, ScheduleError, draw, parse_kinds, parse_seeds, read_schedule
 from runloft.lab.soak.seed_result import SeedResult, Verdict
 
 MS_PER_S = 1000
@@ -56,7 +56,7 @@
     """Return the schedules to run; raise ScheduleError for invalid options."""
     if options.schedule:
         return [read_schedule(options.schedule)]
-    seeds = _parse_seeds(options.seeds)
+    seeds = parse_seeds(options.seeds)
     if options.departures:
         return [
             draw_departures(seed, options.processes, options.seconds, stop_ms / MS_PER_S)
@@ -67,17 +67,6 @@
     return [draw(seed, options.processes, options.seconds, kinds) for seed in seeds]
 
 
-def _parse_seeds(text: str) -> range:
-    """Parse a seed or a range such as ``1-200``."""
-    first, separator, last = text.partition("-")
-    if not first.isdigit() or (separator and not last.isdigit()):
-        raise ScheduleError(f"--seeds {text}: expected a number or a range such as 1-200")
-    seeds = range(int(first), int(last or first) + 1)
-    if not seeds:
-        raise ScheduleError(f"--seeds {text}: the range is empty")
-    return seeds
-
-
 def _parse_stops(text: str) -> list[int]:
     """Parse lengths of stops in milliseconds, separated by commas."""
     parts = text.split(",")
--- a/runloft/lab/soak/schedule.py
+++ b/runloft/lab/soak/schedule.py
@@ -132,6 +132,17 @@
         raise ScheduleError(f"{seconds:g} seconds requested, expected {MIN_SECONDS:g} to {MAX_SECONDS:g}")
 
 
+def parse_seeds(text: str) -> range:
+    """Parse a seed or a range such as ``1-200``."""
+    first, separator, last = text.partition("-")
+    if not first.isdigit() or (separator and not last.isdigit()):
+        raise ScheduleError(f"--seeds {text}: expected a number or a range such as 1-200")
+    seeds = range(int(first), int(last or first) + 1)
+    if not seeds:
+        raise ScheduleError(f"--seeds {text}: the range is empty")
+    return seeds
+
+
 def parse_kinds(names: str) -> tuple[FaultKind, ...]:
     """Parse comma-separated fault kinds; an empty text means all kinds."""
     kinds = tuple(_parse_kind(name) for name in names.split(",") if name)
--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -179,10 +179,12 @@
 
     def _make_room(self) -> bool:
         """Return whether another connection may be accepted, after closing others if there are many."""
-        if len(self.clients) >= self.pressure_threshold or self._is_full():
-            self.evict_idle()
-        if self._is_full():
-            self.evict_slow()
+        if len(self.clients) < self.pressure_threshold and not self._is_full():
+            return True
+        self.evict_idle()
+        if not self._is_full():
+            return True
+        self.evict_slow()
         return not self._is_full()
 
     def _is_full(self) -> bool:
--- a/runloft/net/process_memory.py
+++ b/runloft/net/process_memory.py
@@ -10,7 +10,7 @@
 from collections.abc import Callable
 from enum import StrEnum
 
-from runloft.config.settings import Config
+from runloft.config.settings import RESERVED_BYTES, Config
 from runloft.net.resident_size import resident_bytes
 
 RESAMPLE_BYTES = 256 << 10  # growth of the owners' sum after which the resident size is measured again
@@ -55,7 +55,7 @@
         self.limit_bytes = config.memory_bytes
         self.spare_bytes = config.spare_bytes
         self.capacity_bytes = config.spare_bytes
-        self._target_bytes = max(config.memory_bytes - config.reserved_bytes, config.program_bytes)
+        self._target_bytes = max(config.memory_bytes - RESERVED_BYTES, config.program_bytes)
         self._lowered_at_bytes = 0
 
     def used_bytes(self) -> int:
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -9,7 +9,13 @@
 import anyio
 import structlog
 
-from runloft.config.settings import MIN_SPARE_BYTES, OPEN_REQUEST_BYTES, Config, ObjectSettings
+from runloft.config.settings import (
+    MIN_SPARE_BYTES,
+    OPEN_REQUEST_BYTES,
+    RESERVED_BYTES,
+    Config,
+    ObjectSettings,
+)
 from runloft.core.counters import COUNTERS
 from runloft.core.invariants import INVARIANTS
 from runloft.core.model import NodeUpdate
@@ -141,7 +147,7 @@
     Raise InvalidSettingError if the program takes more than the limit even without the pages of files, which
     the platform may count for all processes of a machine together.
     """
-    needed = program_bytes + config.reserved_bytes + MIN_SPARE_BYTES
+    needed = program_bytes + RESERVED_BYTES + MIN_SPARE_BYTES
     if needed <= config.memory_bytes:
         return
     reason = (
--- a/runloft/service/shutdown.py
+++ b/runloft/service/shutdown.py
@@ -42,10 +42,10 @@
         longest_ns = max(
             (request_class.deadline_ns for request_class in settings.classes), default=MAX_DEADLINE_NS
         )
-        answer_until = requested_at + min(longest_ns, MAX_DEADLINE_NS) + OPEN_REQUEST_GRACE_NS
+        deadline_at = requested_at + min(longest_ns, MAX_DEADLINE_NS)
+        answer_until = deadline_at + OPEN_REQUEST_GRACE_NS
         exit_at = answer_until + CLIENT_CLOSE_GRACE_NS
         accept_until = min(requested_at + ACCEPT_GRACE_NS, exit_at - LAST_ACCEPT_NS)
-        deadline_at = answer_until - OPEN_REQUEST_GRACE_NS
         serve_until = min(max(deadline_at, accept_until), answer_until - IDLE_CLOSE_NS)
         return cls(accept_until, serve_until, answer_until, exit_at)
 
