Log what held the event loop, and count its lag in a histogram

The log line names the longest work of one task since the last iteration (kind, connection, commands, bytes), how many there were, and the processor time of the process, which is small if the machine held it up. /metrics has runloft_event_loop_lag_seconds, by the metrics library.

--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -15,6 +15,7 @@
 from runloft.core.permissions import CloseReason
 from runloft.core.timers import TimerQueue
 from runloft.listeners.connection import ClientConnection
+from runloft.net.loop_activity import LOOP_ACTIVITY, Work
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import set_no_delay
 from runloft.net.timing import Clock, pause
@@ -117,7 +118,8 @@
     def relieve_memory(self) -> None:
         """Close idle connections if the process uses more memory than it may."""
         if self.memory.is_exceeded():
-            self.evict_idle()
+            with LOOP_ACTIVITY.slice(Work.MEMORY_RELIEF):
+                self.evict_idle()
 
     def evict_slow(self) -> None:
         """Fail connections whose command has been incomplete for long, to make room for others."""
@@ -134,7 +136,9 @@
         """Accept connections until the listening socket is closed; log any other failure and retry."""
         while listening_socket.fileno() >= 0:
             try:
-                if not self.accept_waiting(listening_socket, ACCEPT_BURST):
+                with LOOP_ACTIVITY.slice(Work.ACCEPT):
+                    has_accepted_all = self.accept_waiting(listening_socket, ACCEPT_BURST)
+                if not has_accepted_all:
                     # At the client limit or out of descriptors: further connections wait in the kernel.
                     await pause(self.timers, self.clock, ACCEPT_RETRY_S)
                 await anyio.sleep(0)
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -27,6 +27,7 @@
 )
 from runloft.listeners.resp.pipelining import BUSY, PipelinedResponse
 from runloft.net import resp2
+from runloft.net.loop_activity import LOOP_ACTIVITY, Slice, Work
 from runloft.net.timing import pause
 
 REQUEST_COMMANDS = (b"IO.IN", b"IO.OUT")
@@ -55,7 +56,7 @@
                 self.space_event = anyio.Event()
                 with self._reading_paused():
                     await self.space_event.wait()
-            elif self._process_commands():
+            elif self._process_burst():
                 if self.has_disconnected():  # do not start its remaining commands
                     return
                 # Yield, so that a flood on one connection does not delay other clients.
@@ -82,11 +83,18 @@
             await anyio.wait_readable(self.sock)
             self._must_yield = False
 
-    def _process_commands(self) -> bool:
+    def _process_burst(self) -> bool:
+        """Process a burst of commands, and record it; return whether the buffer may hold more."""
+        unparsed = self.reader.unparsed_bytes()
+        with LOOP_ACTIVITY.slice(Work.CLIENT_COMMANDS, self.number) as work:
+            may_have_more = self._process_commands(work)
+            work.input_bytes = max(0, unparsed - self.reader.unparsed_bytes())
+        return may_have_more
+
+    def _process_commands(self, work: Slice) -> bool:
         """Process up to ``COMMAND_BURST`` commands; return whether the buffer may hold more complete ones."""
         reader = self.reader
-        processed = 0
-        while processed < COMMAND_BURST and self._may_process(is_first=processed == 0):
+        while work.commands < COMMAND_BURST and self._may_process(is_first=work.commands == 0):
             try:
                 words = reader.next_command()
             except resp2.RespError as error:
@@ -96,7 +104,7 @@
                 self._record_incomplete_command()
                 return False
             reader.incomplete_since = None
-            processed += 1
+            work.commands += 1
             self.last_activity_at = self.listener.clock()
             self.has_sent_command = True
             arrived_at = reader.arrival_of_last_command(self.last_activity_at)
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -36,6 +36,7 @@
 from runloft.listeners.resp.reading import CommandReader
 from runloft.listeners.resp.writing import ResponseWriter
 from runloft.net import resp2
+from runloft.net.loop_activity import LOOP_ACTIVITY, Work
 from runloft.net.timing import Clock
 
 
@@ -222,14 +223,17 @@
 
     def _refuse_unprocessed(self) -> None:
         """Answer BUSY to the complete commands that were read but not processed, so that each is answered."""
-        while self.reader.unparsed_bytes() > 0:
-            try:
-                words = self.reader.next_command()
-            except resp2.RespError:
-                return
-            if words is None:
-                return
-            self.pipeline.add_response(self).complete(BUSY)
+        with LOOP_ACTIVITY.slice(Work.REFUSED_COMMANDS, self.number) as work:
+            work.input_bytes = self.reader.unparsed_bytes()
+            while self.reader.unparsed_bytes() > 0:
+                try:
+                    words = self.reader.next_command()
+                except resp2.RespError:
+                    return
+                if words is None:
+                    return
+                work.commands += 1
+                self.pipeline.add_response(self).complete(BUSY)
 
     def _check_timeouts(self) -> None:
         """Close a client that exceeds a timeout; bytes of an incomplete command do not extend its timeout."""
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -23,6 +23,7 @@
     SLOW_COMMAND_NS,
 )
 from runloft.listeners.resp.memory import MemoryAccount
+from runloft.net.loop_activity import LOOP_ACTIVITY, Work
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import half_closed
 from runloft.net.timing import Clock
@@ -194,8 +195,9 @@
         """Close the paused clients that have disconnected, and read ahead on the others."""
         disconnected = half_closed(client.sock.fileno() for client in self.paused_clients)
         for client in list(self.paused_clients):
-            if client.sock.fileno() in disconnected or not self._read_ahead(client):
-                client.close(CloseReason.CLIENT_DISCONNECTED)
+            with LOOP_ACTIVITY.slice(Work.READ_AHEAD, client.number):
+                if client.sock.fileno() in disconnected or not self._read_ahead(client):
+                    client.close(CloseReason.CLIENT_DISCONNECTED)
         self._is_poll_scheduled = False
         if self.paused_clients:
             self._schedule_poll()
--- a/runloft/service/metrics.py
+++ b/runloft/service/metrics.py
@@ -4,17 +4,25 @@
 as a whole, and a scrape copies the tables that are modified in place with a single atomic operation.
 """
 
+import itertools
 from collections.abc import Callable, Iterable, Iterator
 from dataclasses import dataclass
 from typing import TYPE_CHECKING
 
-from prometheus_client.core import CounterMetricFamily, GaugeMetricFamily, Metric
+from prometheus_client.core import (
+    CounterMetricFamily,
+    GaugeMetricFamily,
+    HistogramMetricFamily,
+    Metric,
+)
+from prometheus_client.utils import floatToGoString
 
 from runloft.accounts.ledger import Ledger
 from runloft.accounts.totals import OTHERS, VolumeTotals
 from runloft.core.counters import COUNTERS
 from runloft.core.invariants import INVARIANTS, Violation
 from runloft.core.reducer import Core
+from runloft.net.loop_activity import LAG_BUCKETS_MS, LOOP_LAG, LoopLag
 from runloft.net.process_memory import ProcessMemory
 from runloft.service.interfaces import ClientConnectionLimit
 
@@ -23,6 +31,7 @@
 
 MAX_ACCOUNTS_SHOWN = 20  # volumes whose accounts are exported
 NS_PER_S = 1e9
+MS_PER_S = 1000
 
 
 @dataclass(frozen=True, slots=True)
@@ -58,6 +67,7 @@
         yield _gauge(
             "runloft_open_requests", "Requests that have no final answer yet.", len(self.core.requests)
         )
+        yield _lag_metric(LOOP_LAG)
         yield from _reason_metrics()
         if self.memory is not None:
             yield from _memory_metrics(self.memory, self.client_limits())
@@ -92,6 +102,18 @@
     yield limits
 
 
+def _lag_metric(lag: LoopLag) -> Metric:
+    """Return the histogram of how late the event loop is."""
+    counts = tuple(lag.counts)
+    bounds = [floatToGoString(bucket_ms / MS_PER_S) for bucket_ms in LAG_BUCKETS_MS] + ["+Inf"]
+    buckets = list(zip(bounds, itertools.accumulate(counts), strict=True))
+    histogram = HistogramMetricFamily(
+        "runloft_event_loop_lag_seconds", "How late an iteration started after a timer was due."
+    )
+    histogram.add_metric([], buckets, lag.total_ns / NS_PER_S)
+    return histogram
+
+
 def _gauge(name: str, documentation: str, value: float) -> Metric:
     gauge = GaugeMetricFamily(name, documentation)
     gauge.add_metric([], value)
--- a/runloft/service/runner.py
+++ b/runloft/service/runner.py
@@ -1,5 +1,6 @@
 """The event loop: passes queued events to the reducer and carries out the effects that it returns."""
 
+import time
 from collections.abc import Callable, Sequence
 
 import anyio
@@ -22,10 +23,12 @@
 from runloft.core.reducer import Core
 from runloft.core.timers import TimerQueue
 from runloft.core.trace import trace
+from runloft.net.loop_activity import LOOP_ACTIVITY, LOOP_LAG
 from runloft.net.socket_state import half_closed
 from runloft.service.interfaces import Upstream
 
 log = structlog.get_logger()
+NS_PER_MS = 1_000_000
 SLOW_ITERATION_NS = 15_000_000  # longer iterations put responses near their deadline at risk
 QUEUED_REQUEST_BYTES = 2048  # of a queued request besides its payload
 MAX_CLOCK_ERROR_NS = 500_000_000  # beyond this the wall clock is considered unreliable
@@ -53,6 +56,7 @@
         self.pools: dict[str, Upstream] = {}
         self.events: list[Event] = []
         self._queued_request_bytes = 0
+        self._cpu_ns = 0  # the process's processor time at the end of the last iteration
         self._wake = anyio.Event()
         # Without a wake-up, a timer added between two iterations would fire only after the next event.
         timers.on_earliest_changed = self._wake_up
@@ -89,12 +93,24 @@
         started_at = self.clock()
         due = self.core.next_at(self.clock())
         self._process_events()
-        late_ns = started_at - (due or started_at)
+        late_ns = max(0, started_at - (due or started_at))
         duration_ns = self.clock() - started_at
+        if due is not None and due <= started_at:
+            LOOP_LAG.observe(late_ns)
         if max(late_ns, duration_ns) > SLOW_ITERATION_NS:
-            log.warning(
-                "slow event-loop iteration", late_ms=late_ns // 1_000_000, took_ms=duration_ns // 1_000_000
-            )
+            self._log_slow_iteration(late_ns, duration_ns)
+        LOOP_ACTIVITY.clear()
+        self._cpu_ns = time.process_time_ns()
+
+    def _log_slow_iteration(self, late_ns: int, duration_ns: int) -> None:
+        """Log what held the event loop; ``cpu_ms`` is small if the machine held the process up."""
+        log.warning(
+            "slow event-loop iteration",
+            late_ms=late_ns // NS_PER_MS,
+            took_ms=duration_ns // NS_PER_MS,
+            cpu_ms=(time.process_time_ns() - self._cpu_ns) // NS_PER_MS,
+            **LOOP_ACTIVITY.log_fields(),
+        )
 
     def _process_events(self) -> None:
         events = self.events
