--- a/runloft/arguments.py
+++ b/runloft/arguments.py
@@ -36,6 +36,7 @@
 
 def _add_lab_parser(commands: Subparsers) -> None:
     from runloft.lab.crowd import options as crowd_options
+    from runloft.lab.flood import options as flood_options
     from runloft.lab.scale import options as scale_options
     from runloft.lab.soak import options as soak_options
 
@@ -48,6 +49,7 @@
     soak_options.add_parser(actions)
     crowd_options.add_parser(actions)
     crowd_options.add_shutdowns_parser(actions)
+    flood_options.add_parser(actions)
 
 
 def _add_scenario_parser(actions: Subparsers) -> None:
--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -96,6 +96,10 @@
             from runloft.lab.crowd import commands as crowd
 
             return crowd.run
+        case "flood":
+            from runloft.lab.flood import commands as flood
+
+            return flood.run
         case "shutdowns":
             from runloft.lab.crowd import commands as crowd
 
--- a/runloft/lab/crowd/process.py
+++ b/runloft/lab/crowd/process.py
@@ -37,6 +37,8 @@
     memory_mb: int
     descriptors: int
     deadline_ms: int = 0  # of all classes; 0: those of the soak
+    objects: ConfigDocument | None = None  # the object API's settings, if it is on
+    source: Path | None = None  # the folder of the version to start, by default this one
     process: anyio.abc.Process | None = None
     peaks_mb: list[float] = field(default_factory=list)  # of each process that has ended
 
@@ -52,13 +54,20 @@
         for request_class in document["settings"]["Classes"] if self.deadline_ms else ():
             request_class["HardLimit"] = self.deadline_ms * NS_PER_MS
             request_class["Target"] = self.deadline_ms * NS_PER_MS // 2
+        if self.objects:
+            document["objects"] = self.objects
         config = self.folder / "config.json"
         config.write_text(json.dumps(document))
         log_start = self.log.stat().st_size if self.log.exists() else 0
         command = [sys.executable, "-m", "runloft", "serve", "--config", str(config)]
         with self.log.open("ab") as log:
             self.process = await anyio.open_process(
-                command, stdin=DEVNULL, stdout=log, stderr=log, env=os.environ | {"NO_COLOR": "1"}
+                command,
+                stdin=DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=os.environ | {"NO_COLOR": "1"},
+                cwd=self.source,
             )
         resource.prlimit(self.process.pid, resource.RLIMIT_NOFILE, (self.descriptors, self.descriptors))
         with anyio.move_on_after(START_TIMEOUT_S):
--- a/runloft/service/metrics.py
+++ b/runloft/service/metrics.py
@@ -15,7 +15,6 @@
     HistogramMetricFamily,
     Metric,
 )
-from prometheus_client.utils import floatToGoString
 
 from runloft.accounts.ledger import Ledger
 from runloft.accounts.totals import OTHERS, VolumeTotals
@@ -105,7 +104,7 @@
 def _lag_metric(lag: LoopLag) -> Metric:
     """Return the histogram of how late the event loop is."""
     counts = tuple(lag.counts)
-    bounds = [floatToGoString(bucket_ms / MS_PER_S) for bucket_ms in LAG_BUCKETS_MS] + ["+Inf"]
+    bounds = [str(bucket_ms / MS_PER_S) for bucket_ms in LAG_BUCKETS_MS] + ["+Inf"]
     buckets = list(zip(bounds, itertools.accumulate(counts), strict=True))
     histogram = HistogramMetricFamily(
         "runloft_event_loop_lag_seconds", "How late an iteration started after a timer was due."
