Merge small unsent responses, whose chunks took many times their bytes

What callers saw: nothing yet; the resident size may pass the limit. Cause: SendBuffer kept a memoryview of about 190 bytes for each response, and counted its 7 bytes. A client that reads late may have 512 KB unsent, which are 70,000 PONGs. Fix: chunks of up to 4 KiB are merged, and each is counted with its overhead. Class: an entry costs more than the bytes counted for it.

--- a/runloft/net/buffers.py
+++ b/runloft/net/buffers.py
@@ -5,6 +5,8 @@
 from itertools import islice
 
 MAX_CHUNKS_PER_WRITE = 64
+MAX_MERGED_BYTES = 4096  # small chunks are merged into chunks of up to this size
+CHUNK_OVERHEAD_BYTES = 64  # memory of a chunk besides its content
 MIN_GROWTH_BYTES = 4096
 MAX_GROWTH_BYTES = 256 << 10
 MAX_EXACT_ARRIVALS = 32  # reads whose arrival times are all kept
@@ -72,16 +74,27 @@
     """Unsent bytes, written by gathered writes that may be partial."""
 
     def __init__(self) -> None:
-        self.chunks: deque[memoryview] = deque()
+        self.chunks: deque[bytes | memoryview] = deque()
         self.size = 0
 
+    def memory_bytes(self) -> int:
+        """Return the memory that the unsent bytes take."""
+        return self.size + CHUNK_OVERHEAD_BYTES * len(self.chunks)
+
     def push(self, *chunks: bytes | memoryview) -> None:
-        """Append chunks."""
+        """Append chunks; small ones are merged, as each would take more memory than its content."""
         for chunk in chunks:
             if len(chunk):
-                self.chunks.append(memoryview(chunk))
+                self._append(chunk)
                 self.size += len(chunk)
 
+    def _append(self, chunk: bytes | memoryview) -> None:
+        last = self.chunks[-1] if self.chunks else None
+        if isinstance(last, bytes) and len(last) + len(chunk) <= MAX_MERGED_BYTES:
+            self.chunks[-1] = last + chunk
+        else:
+            self.chunks.append(chunk)
+
     def release(self) -> None:
         """Release the memory and drop the unsent bytes."""
         self.chunks.clear()
@@ -97,7 +110,7 @@
             self.size -= count
             while count:
                 if count < len(self.chunks[0]):
-                    self.chunks[0] = self.chunks[0][count:]
+                    self.chunks[0] = memoryview(self.chunks[0])[count:]
                     break
                 count -= len(self.chunks.popleft())
         return True
