Refuse by turns what was read ahead, and share a bound on work among connections

What callers saw: beside one client with unsound commands all others waited for up to 4 s, some in vain, and the watch on discovery was closed as silent. Cause: a paused connection was read ahead by up to 4 MiB; at its 25th error all of it was parsed and answered with BUSY, one system call each, in one go. Evidence: the log line names 'client commands' on one connection, 3,407,872 bytes, 2,732 ms of processor time, for errors only. Fix: (1) input is read ahead only while a request of the connection is unanswered, which is what it is for; else it stays in the kernel. (2) A closing connection refuses its commands in bursts of 64, by turns, then writes the error. (3) Connections that always have input wait for a turn: 16 bursts in an iteration, for both listeners. (4) The responses of a burst are one write; reading ahead has a bound of 1 MiB an iteration; dropped input goes by turns. (5) The whole process's memory is summed after 64 KiB of new input in place of each read, and incomplete commands fail by what they hold, in place of one search for each. Empty commands in refused input got a BUSY each, which shifted all later responses: they get none. Class: a loop whose length a peer chooses.

--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -19,6 +19,7 @@
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import set_no_delay
 from runloft.net.timing import Clock, pause
+from runloft.net.turns import TurnQueue
 
 log = structlog.get_logger()
 ACCEPT_RETRY_S = 0.02  # pause after connections could not be accepted
@@ -75,8 +76,10 @@
         clock: Clock,
         config: Config,
         memory: ProcessMemory | None = None,
+        turns: TurnQueue | None = None,
     ) -> None:
         self.task_group = task_group
+        self.turns = turns or TurnQueue(task_group)
         self.post = post
         self.timers = timers
         self.clock = clock
--- a/runloft/listeners/objects/listener.py
+++ b/runloft/listeners/objects/listener.py
@@ -18,6 +18,7 @@
 from runloft.net.memory_budget import MemoryBudget
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.timing import Clock, within
+from runloft.net.turns import TurnQueue
 from runloft.placement.store import PlacementStore
 
 
@@ -36,12 +37,13 @@
         settings: ObjectSettings,
         store: PlacementStore,
         memory: ProcessMemory | None = None,
+        turns: TurnQueue | None = None,
     ) -> None:
         self.body_budget = MemoryBudget(0)
         self.placements = PlacementDirectory(store)
         self.translator = RequestTranslator(config, settings)
         self.max_body_bytes = settings.max_body
-        super().__init__(task_group, post, timers, clock, config, memory)
+        super().__init__(task_group, post, timers, clock, config, memory, turns)
         self.memory.add_owner(MemoryOwner.BODIES, self.body_budget.used_bytes)
 
     def configure(self, config: Config) -> None:
--- a/runloft/listeners/objects/services.py
+++ b/runloft/listeners/objects/services.py
@@ -11,6 +11,7 @@
 from runloft.listeners.objects.translation import RequestTranslator
 from runloft.net.memory_budget import MemoryBudget
 from runloft.net.timing import Clock
+from runloft.net.turns import TurnQueue
 
 
 class ListenerServices(Protocol):
@@ -24,6 +25,7 @@
     max_body_bytes: int
     translator: RequestTranslator
     placements: PlacementDirectory
+    turns: TurnQueue
 
     def within(self, seconds: float) -> contextlib.AbstractContextManager[None]:
         """Raise TimeoutError if the body of the ``with`` statement takes longer."""
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -17,6 +17,7 @@
 from runloft.listeners.resp.lifetime import ClientLifetime
 from runloft.listeners.resp.limits import (
     COMMAND_BURST,
+    CONTENDED_COMMAND_BURST,
     DRAIN_POLL_INTERVAL_S,
     LINGER_NS,
     MAX_ECHO_BYTES,
@@ -45,6 +46,7 @@
             with self.reading_scope:
                 await self._serve_commands()
             if self.is_closing:
+                await self._refuse_unprocessed()
                 await self._linger()
         except (OSError, BufferError, anyio.ClosedResourceError):
             self.close_reason = CloseReason.CONNECTION_BROKEN
@@ -53,15 +55,13 @@
     async def _serve_commands(self) -> None:
         while not self.closed and not self.is_closing:
             if not self.has_space():
-                self.space_event = anyio.Event()
-                with self._reading_paused():
-                    await self.space_event.wait()
+                await self._wait_for_space()
             elif self._process_burst():
                 if self.has_disconnected():  # do not start its remaining commands
                     return
                 # Yield, so that a flood on one connection does not delay other clients.
                 seconds = slowdown_s(self.errors)
-                await (self._pause_reading(seconds) if seconds else anyio.sleep(0))
+                await (self._pause_reading(seconds) if seconds else self.listener.turns.wait())
             elif not self.is_closing and not await self._receive():
                 return
 
@@ -71,7 +71,7 @@
         A read after one that did not have to wait yields first, so that other clients are served.
         """
         if self._must_yield:
-            await anyio.sleep(0)
+            await self.listener.turns.wait()
         self._must_yield = True
         while True:
             # Waiting in the handler would keep the exception and its frames in memory.
@@ -86,7 +86,7 @@
     def _process_burst(self) -> bool:
         """Process a burst of commands, and record it; return whether the buffer may hold more."""
         unparsed = self.reader.unparsed_bytes()
-        with LOOP_ACTIVITY.slice(Work.CLIENT_COMMANDS, self.number) as work:
+        with LOOP_ACTIVITY.slice(Work.CLIENT_COMMANDS, self.number) as work, self.corked():
             may_have_more = self._process_commands(work)
             work.input_bytes = max(0, unparsed - self.reader.unparsed_bytes())
         return may_have_more
@@ -94,7 +94,8 @@
     def _process_commands(self, work: Slice) -> bool:
         """Process up to ``COMMAND_BURST`` commands; return whether the buffer may hold more complete ones."""
         reader = self.reader
-        while work.commands < COMMAND_BURST and self._may_process(is_first=work.commands == 0):
+        burst = CONTENDED_COMMAND_BURST if self.listener.turns.is_contended() else COMMAND_BURST
+        while work.commands < burst and self._may_process(is_first=work.commands == 0):
             try:
                 words = reader.next_command()
             except resp2.RespError as error:
@@ -177,6 +178,11 @@
         if self.errors > MAX_ERRORS:
             self.fail("too many errors")
 
+    async def _wait_for_space(self) -> None:
+        self.space_event = anyio.Event()
+        with self._reading_paused():
+            await self.space_event.wait()
+
     async def _pause_reading(self, seconds: float) -> None:
         with self._reading_paused():
             await pause(self.listener.timers, self.listener.clock, seconds)
@@ -193,6 +199,19 @@
         finally:
             self.listener.unwatch(self)
 
+    async def _refuse_unprocessed(self) -> None:
+        """Answer BUSY to the complete commands that were read but not processed, so that each is answered.
+
+        There may be megabytes of them, so that this goes on by turns.
+        """
+        while not self.closed and self.refuse_burst():
+            if self.has_output_memory():
+                await self.listener.turns.wait()
+            else:
+                await self._wait_for_space()
+        if not self.closed:
+            self.end_input()
+
     async def _linger(self) -> None:
         """Wait for the client to read its responses before the connection is closed.
 
@@ -229,4 +248,7 @@
             if not dropped:
                 return False
             remaining -= dropped
+            await self.listener.turns.wait()
+            if self.closed:
+                return False
         return True
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -7,7 +7,8 @@
 """
 
 import socket
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
+from contextlib import contextmanager
 from itertools import count
 from typing import Protocol
 
@@ -28,6 +29,7 @@
     MAX_PIPELINED,
     PRESSURE_IDLE_TIMEOUT_NS,
     RECHECK_INTERVAL_NS,
+    REFUSAL_BURST,
     RESPONSE_BYTES,
     WRITE_STALL_TIMEOUT_NS,
 )
@@ -38,6 +40,7 @@
 from runloft.net import resp2
 from runloft.net.loop_activity import LOOP_ACTIVITY, Work
 from runloft.net.timing import Clock
+from runloft.net.turns import TurnQueue
 
 
 class ClientOwner(Protocol):
@@ -50,6 +53,7 @@
     translator: CommandTranslator
     input_memory: MemoryAccount
     output_memory: MemoryAccount
+    turns: TurnQueue
     stopping: bool
     has_backlog: bool
 
@@ -102,6 +106,9 @@
         self.writer = ResponseWriter(sock, listener.task_group, listener.clock, self)
         self.reading_scope = anyio.CancelScope()
         self.space_event: anyio.Event | None = None  # set once further commands may be processed
+        self._is_corked = False  # whether complete responses are collected for one write
+        self._has_corked_responses = False
+        self._protocol_error: bytes | None = None  # the last response, after those to complete commands
         self._timer: TimerHandle | None = listener.timers.add(
             self.last_activity_at + COMMAND_TIMEOUT_NS, self._check_timeouts
         )
@@ -126,14 +133,32 @@
 
     def has_space(self) -> bool:
         """Return whether another command may be processed."""
+        return len(self.pipeline) < MAX_PIPELINED and self.has_output_memory()
+
+    def has_output_memory(self) -> bool:
+        """Return whether there is memory for further responses."""
         self._account_output()
-        has_memory = self._output_share.used_bytes <= self.listener.max_unwritten_bytes()
-        return len(self.pipeline) < MAX_PIPELINED and has_memory
+        return self._output_share.used_bytes <= self.listener.max_unwritten_bytes()
+
+    @contextmanager
+    def corked(self) -> Iterator[None]:
+        """Write the responses that are completed in the body of the ``with`` statement together."""
+        self._is_corked = True
+        try:
+            yield
+        finally:
+            self._is_corked = False
+            if self._has_corked_responses:
+                self._has_corked_responses = False
+                self.flush()
 
     def flush(self) -> None:
         """Write the complete responses at the head of the pipeline."""
         if self.closed:
             return
+        if self._is_corked:
+            self._has_corked_responses = True
+            return
         while (buffers := self.pipeline.pop_ready()) is not None:
             self.writer.outbox.push(*buffers)
         self.writer.flush()
@@ -186,20 +211,43 @@
         close into a reset, which discards what the client has not read.
         """
         if not self.is_closing:
-            self._refuse_unprocessed()
             self.is_closing = True
             self.close_reason = reason
             self.reading_scope.cancel()
 
     def fail(self, reason: str) -> None:
-        """Write a protocol error after the pending responses, and close."""
+        """Write a protocol error after the pending responses and those to complete commands, and close."""
         if not self.is_closing and not self.closed:
             self.is_closing = True
             self.close_reason = CloseReason.PROTOCOL_ERROR
+            self._protocol_error = b"-ERR Protocol error: %s\r\n" % reason.encode()
             self.reading_scope.cancel()
-            self._refuse_unprocessed()
-            self.reader.release()
-            self.pipeline.add_response(self).complete(b"-ERR Protocol error: %s\r\n" % reason.encode())
+            if not self.reader.has_complete_command():
+                self.end_input()
+
+    def refuse_burst(self) -> bool:
+        """Answer BUSY to commands that were read but not processed; return whether more may be left."""
+        with LOOP_ACTIVITY.slice(Work.REFUSED_COMMANDS, self.number) as work:
+            unparsed = self.reader.unparsed_bytes()
+            refused = 0
+            while work.commands < REFUSAL_BURST:
+                words = self._next_complete_command()
+                if words is None:
+                    break
+                work.commands += 1
+                refused += bool(words)  # an empty command has no response
+            if refused:
+                self.pipeline.add_response(self).complete(BUSY * refused)
+            work.input_bytes = unparsed - self.reader.unparsed_bytes()
+            return work.commands == REFUSAL_BURST
+
+    def end_input(self) -> None:
+        """Drop the input, which has no complete command any more, and write the protocol error, if any."""
+        self.reader.release()
+        error = self._protocol_error
+        if error is not None:
+            self._protocol_error = None
+            self.pipeline.add_response(self).complete(error)
 
     def release(self, reason: CloseReason, unanswered: int) -> None:
         """Release the timer, memory and waiters, and report the unanswered requests as disconnected."""
@@ -219,21 +267,14 @@
 
     def _account_output(self) -> None:
         """Update what this connection's responses use, whether or not they are complete."""
-        self._output_share.set(self.unwritten_bytes() + RESPONSE_BYTES * len(self.pipeline))
-
-    def _refuse_unprocessed(self) -> None:
-        """Answer BUSY to the complete commands that were read but not processed, so that each is answered."""
-        with LOOP_ACTIVITY.slice(Work.REFUSED_COMMANDS, self.number) as work:
-            work.input_bytes = self.reader.unparsed_bytes()
-            while self.reader.unparsed_bytes() > 0:
-                try:
-                    words = self.reader.next_command()
-                except resp2.RespError:
-                    return
-                if words is None:
-                    return
-                work.commands += 1
-                self.pipeline.add_response(self).complete(BUSY)
+        pending_bytes = self.pipeline.pending_bytes + RESPONSE_BYTES * len(self.pipeline)
+        self._output_share.set(self.writer.outbox.memory_bytes() + pending_bytes)
+
+    def _next_complete_command(self) -> list[bytes] | None:
+        try:
+            return self.reader.next_command()
+        except resp2.RespError:
+            return None
 
     def _check_timeouts(self) -> None:
         """Close a client that exceeds a timeout; bytes of an incomplete command do not extend its timeout."""
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -2,6 +2,12 @@
 
 MAX_PIPELINED = 128  # unanswered commands per connection; further ones wait in the socket
 COMMAND_BURST = 16  # commands of one connection processed in a row before other tasks run
+CONTENDED_COMMAND_BURST = 4  # the same while more connections have input than get a turn
+REFUSAL_BURST = 64  # commands of a closing connection refused in a row before other tasks run
+READ_AHEAD_ITERATION_BYTES = 1 << 20  # read ahead on all connections before other tasks run
+READ_AHEAD_CONTINUE_NS = 1_000_000  # until reading ahead goes on
+DROPPED_READ_BYTES = 32 << 10  # of input that is dropped, in one read
+MEMORY_CHECK_BYTES = 64 << 10  # growth of all input after which the whole process's memory is checked
 MAX_UNWRITTEN_BYTES = 512 << 10  # of responses on one connection; above it no further command is processed
 OUTPUT_SHARE_DIVISOR = 2  # once half of the output memory is used: part of an even share that is left
 RESPONSE_BYTES = 512  # memory of a pipelined response besides its content
--- a/runloft/listeners/resp/listener.py
+++ b/runloft/listeners/resp/listener.py
@@ -17,9 +17,12 @@
 from runloft.listeners.resp.limits import (
     INPUT_MEMORY_DIVISOR,
     MAX_UNWRITTEN_BYTES,
+    MEMORY_CHECK_BYTES,
     OUTPUT_MEMORY_DIVISOR,
     OUTPUT_SHARE_DIVISOR,
     QUEUE_MEMORY_DIVISOR,
+    READ_AHEAD_CONTINUE_NS,
+    READ_AHEAD_ITERATION_BYTES,
     SLOW_COMMAND_NS,
 )
 from runloft.listeners.resp.memory import MemoryAccount
@@ -27,6 +30,7 @@
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.socket_state import half_closed
 from runloft.net.timing import Clock
+from runloft.net.turns import TurnQueue
 
 
 def no_queued_bytes() -> int:
@@ -57,13 +61,15 @@
         config: Config,
         queued_request_bytes: Callable[[], int] = no_queued_bytes,
         memory: ProcessMemory | None = None,
+        turns: TurnQueue | None = None,
     ) -> None:
         self._queued_request_bytes = queued_request_bytes
         self.paused_clients: set[ClientLifetime] = set()  # clients whose input is not being read
         self.input_memory = MemoryAccount()
         self.output_memory = MemoryAccount()
         self._is_poll_scheduled = False
-        super().__init__(task_group, post, timers, clock, config, memory)
+        self._checked_input_bytes = 0  # the least input since the process's memory was checked
+        super().__init__(task_group, post, timers, clock, config, memory, turns)
         self.memory.add_owner(MemoryOwner.CLIENT_INPUT, lambda: self.input_memory.used_bytes)
         self.memory.add_owner(MemoryOwner.RESPONSES, lambda: self.output_memory.used_bytes)
 
@@ -115,21 +121,37 @@
         self.paused_clients.discard(client)
 
     def enforce_input_memory_limit(self) -> None:
-        """Fail incomplete commands, least recently active client first, while input exceeds its limit."""
-        while self.input_memory.is_exceeded() or self.memory.is_exceeded():
-            candidates = [
-                client
-                for client in self.clients
-                if client.reader.incomplete_since is not None and not client.is_closing
-            ]
-            if not candidates:
+        """Fail incomplete commands if input exceeds its limit, or has grown beyond the process's."""
+        input_bytes = self.input_memory.used_bytes
+        self._checked_input_bytes = min(self._checked_input_bytes, input_bytes)
+        has_grown = input_bytes > self._checked_input_bytes + MEMORY_CHECK_BYTES
+        if has_grown or self.input_memory.is_exceeded():
+            self._checked_input_bytes = input_bytes
+            self._fail_incomplete_commands()
+
+    def _fail_incomplete_commands(self) -> None:
+        """Fail incomplete commands, least recently active client first, until the limits are kept."""
+        excess = max(self.input_memory.excess_bytes(), self.memory.excess_bytes())
+        if excess <= 0:
+            return
+        # Closing connections release their input soon.
+        excess -= sum(client.reader.memory_bytes() for client in self.clients if client.is_closing)
+        candidates = [
+            client
+            for client in self.clients
+            if client.reader.incomplete_since is not None and not client.is_closing
+        ]
+        for client in sorted(candidates, key=lambda client: client.last_activity_at):
+            if excess <= 0:
                 return
-            _fail_incomplete(min(candidates, key=lambda client: client.last_activity_at))
+            excess -= client.reader.memory_bytes()
+            _fail_incomplete(client)
 
     def relieve_memory(self) -> None:
         """Close idle connections and fail incomplete commands if the process uses too much memory."""
         super().relieve_memory()
-        self.enforce_input_memory_limit()
+        with LOOP_ACTIVITY.slice(Work.MEMORY_RELIEF):
+            self._fail_incomplete_commands()
 
     def evict_slow(self) -> None:
         """Fail the commands that have been incomplete for longest, up to ``EVICTION_BATCH`` of them.
@@ -150,10 +172,12 @@
     def enforce_output_memory_limit(self) -> None:
         """Close clients while unwritten responses exceed their memory limit, the largest first."""
         unwritten = {client: client.unwritten_bytes() for client in self.clients}
-        while sum(unwritten.values()) > self.output_memory.max_bytes:
-            largest = max(unwritten, key=lambda client: unwritten[client])
-            del unwritten[largest]
-            largest.close(CloseReason.NOT_READING)
+        excess = sum(unwritten.values()) - self.output_memory.max_bytes
+        for client in sorted(unwritten, key=lambda client: -unwritten[client]):
+            if excess <= 0:
+                return
+            excess -= unwritten[client]
+            client.close(CloseReason.NOT_READING)
 
     def eviction_candidates(self) -> list[RespClient]:
         """Return the idle connections: lingering first, then those without commands or with errors."""
@@ -187,22 +211,37 @@
             else:
                 client.close_if_idle()
 
-    def _schedule_poll(self) -> None:
+    def _schedule_poll(self, delay_ns: int = DISCONNECT_POLL_INTERVAL_NS) -> None:
         self._is_poll_scheduled = True
-        self.timers.add(self.clock() + DISCONNECT_POLL_INTERVAL_NS, self._close_disconnected)
+        self.timers.add(self.clock() + delay_ns, self._poll_paused)
 
-    def _close_disconnected(self) -> None:
+    def _poll_paused(self) -> None:
         """Close the paused clients that have disconnected, and read ahead on the others."""
         disconnected = half_closed(client.sock.fileno() for client in self.paused_clients)
+        remaining = READ_AHEAD_ITERATION_BYTES
         for client in list(self.paused_clients):
-            with LOOP_ACTIVITY.slice(Work.READ_AHEAD, client.number):
-                if client.sock.fileno() in disconnected or not self._read_ahead(client):
-                    client.close(CloseReason.CLIENT_DISCONNECTED)
+            if client.sock.fileno() in disconnected:
+                client.close(CloseReason.CLIENT_DISCONNECTED)
+            elif remaining > 0:
+                remaining -= self._read_ahead(client, remaining)
         self._is_poll_scheduled = False
         if self.paused_clients:
-            self._schedule_poll()
+            self._schedule_poll(DISCONNECT_POLL_INTERVAL_NS if remaining > 0 else READ_AHEAD_CONTINUE_NS)
 
     @staticmethod
-    def _read_ahead(client: ClientLifetime) -> bool:
-        """Read ahead unless the client is closing; return False if it has disconnected."""
-        return client.is_closing or client.closed or client.reader.read_ahead()
+    def _read_ahead(client: ClientLifetime, max_bytes: int) -> int:
+        """Read ahead while the client has unanswered requests; return how many bytes were read.
+
+        Only those could still be forwarded after a close that lies behind the input.
+        """
+        if client.is_closing or client.closed:
+            return 0
+        if not client.pipeline.unanswered():
+            client.reader.record_unread_input()
+            return 0
+        with LOOP_ACTIVITY.slice(Work.READ_AHEAD, client.number) as work:
+            count = client.reader.read_ahead(max_bytes)
+            work.input_bytes = count or 0
+        if count is None:
+            client.close(CloseReason.CLIENT_DISCONNECTED)
+        return count or 0
--- a/runloft/listeners/resp/memory.py
+++ b/runloft/listeners/resp/memory.py
@@ -12,6 +12,10 @@
         """Return whether more than the limit is used."""
         return self.used_bytes > self.max_bytes
 
+    def excess_bytes(self) -> int:
+        """Return by how much the use exceeds the limit; not positive if it is kept."""
+        return self.used_bytes - self.max_bytes
+
     def is_half_used(self) -> bool:
         """Return whether more than half of the limit is used, so that connections have to save."""
         return self.used_bytes > self.max_bytes // 2
--- a/runloft/listeners/resp/reading.py
+++ b/runloft/listeners/resp/reading.py
@@ -3,11 +3,11 @@
 import socket
 
 from runloft.listeners.connection import MAX_READ_AHEAD_BYTES
-from runloft.listeners.resp.limits import MAX_COMMAND_BYTES
+from runloft.listeners.resp.limits import DROPPED_READ_BYTES, MAX_COMMAND_BYTES
 from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
 from runloft.net import resp2
 from runloft.net.buffers import ArrivalTimes, ReceiveBuffer
-from runloft.net.socket_state import data_age_ns
+from runloft.net.socket_state import data_age_ns, nothing_to_read
 from runloft.net.timing import Clock
 
 ARRIVAL_BYTES = 136  # memory of a recorded arrival time
@@ -63,27 +63,35 @@
         self._account()
         return count
 
-    def read_ahead(self) -> bool:
-        """Read while commands are not processed; return False at the stream's end.
+    def read_ahead(self, max_bytes: int = MAX_READ_AHEAD_BYTES) -> int | None:
+        """Read up to about ``max_bytes`` while commands are not processed; return None at the stream's end.
 
         This records arrival times, and shows the client's close even behind many commands.
         Input that does not fit stays in the socket and counts as arrived when the space ran out.
         """
         self.inbox.limit = MAX_READ_AHEAD_BYTES
+        total = 0
         try:
-            while True:
+            while total < max_bytes:
                 if self.inbox.is_full() or self._memory_share.account.is_half_used():
-                    if self._earliest_arrival_at is None:
-                        self._earliest_arrival_at = self._clock()
-                    return True
-                if not self.receive():
-                    return False
+                    self.record_unread_input()
+                    break
+                count = self.receive()
+                if not count:
+                    return None
+                total += count
         except BlockingIOError:
-            return True
+            pass
         except OSError:
-            return False
+            return None
         finally:
             self.inbox.limit = MAX_COMMAND_BYTES
+        return total
+
+    def record_unread_input(self) -> None:
+        """Record that input which stays in the socket counts as arrived now, unless it came earlier."""
+        if self._earliest_arrival_at is None and not nothing_to_read(self._sock):
+            self._earliest_arrival_at = self._clock()
 
     def next_command(self) -> list[bytes] | None:
         """Return the words of the next complete command, or None; raise RespError on a protocol error."""
@@ -115,9 +123,12 @@
         return self.inbox.end - self.inbox.start
 
     def drop_input(self) -> int:
-        """Drop the buffered input and read once; return the number of bytes read, 0 at the stream's end."""
-        self.inbox.start = self.inbox.end = 0
-        return self.inbox.receive(self._sock)
+        """Read once and drop what was read; return its size, 0 at the stream's end."""
+        return len(self._sock.recv(DROPPED_READ_BYTES))
+
+    def memory_bytes(self) -> int:
+        """Return the memory that the buffer and the arrival times use."""
+        return self._memory_share.used_bytes
 
     def shrink(self) -> None:
         """Release the buffer's memory if all received bytes have been parsed."""
--- a/runloft/net/process_memory.py
+++ b/runloft/net/process_memory.py
@@ -73,6 +73,10 @@
         """Return whether the owners use more than the capacity."""
         return self.used_bytes() > self.capacity_bytes
 
+    def excess_bytes(self) -> int:
+        """Return by how much the owners' use exceeds the capacity; not positive if it is kept."""
+        return self.used_bytes() - self.capacity_bytes
+
     def has_room(self, size: int) -> bool:
         """Return whether ``size`` bytes more may be used."""
         used = self.used_bytes()
--- a/runloft/service/server.py
+++ b/runloft/service/server.py
@@ -28,6 +28,7 @@
 from runloft.net.listening import open_listener_with_retry
 from runloft.net.process_memory import MemoryOwner, ProcessMemory
 from runloft.net.resident_size import anonymous_bytes
+from runloft.net.turns import TurnQueue
 from runloft.service.clock import MonotonicClock
 from runloft.service.errors import (
     InvalidSettingError,
@@ -193,6 +194,7 @@
         self.store: PlacementStore | None = None
         self.admin: AdminServer | None = None
         self.process_memory = new_process_memory(runner)
+        self.turns = TurnQueue(self.tasks)
         self.memory = MemoryMonitor(
             self.process_memory, runner.timers, runner.clock, self.state_sizes, self.relieve_memory
         )
@@ -280,6 +282,7 @@
             config,
             runner.queued_request_bytes,
             self.process_memory,
+            self.turns,
         )
         await self._listen(listener, ListenAddress("listen", *config.listen))
         if config.objects:
@@ -303,6 +306,7 @@
             settings,
             self.store,
             self.process_memory,
+            self.turns,
         )
         await self._listen(listener, ListenAddress("objects.listen", *settings.listen))
         self._add_pool(
