Free connections that end by an HTTP parser's error at their close

What callers saw: a client whose unsound connection ends by an error and is opened again took the process from 37 to 68 MB in 25 s (120 connections a second, memory_mb 96), and further, until the platform ends it. Cause: h11 raises an error whose traceback holds a frame that refers to the error (its self), so the error, the parser with up to 16 KiB of input and the connection's reader and writer waited for a garbage collection. Evidence: gc.DEBUG_SAVEALL showed 31 objects in a cycle for a bad request line, of 9 tracebacks, and none for other ends. Fix: the tracebacks of handled errors are dropped where a connection ends: clients, nodes, discovery. Class: garbage that a peer makes at will.

--- a/runloft/discovery/watch.py
+++ b/runloft/discovery/watch.py
@@ -18,6 +18,7 @@
 from runloft.discovery.node_list import WatchEvent, node_list_update
 from runloft.discovery.watch_call import SILENCE_TIMEOUT_NS, WatchCall
 from runloft.net.addresses import SocketAddress
+from runloft.net.http_errors import release_frames
 from runloft.net.timing import Clock, pause
 
 log = structlog.get_logger()
@@ -96,6 +97,7 @@
                     self._apply(event, call)
         except WATCH_ERRORS as error:
             log.info("discovery watch ended by an error", error=repr(error), rev=self.rev)
+            release_frames(error)
         finally:
             call.close()
             self._last_data_at = call.last_data_at or self._last_data_at
--- a/runloft/listeners/objects/connection.py
+++ b/runloft/listeners/objects/connection.py
@@ -17,6 +17,7 @@
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.translation import Headers
 from runloft.listeners.objects.writing import ResponseWriter
+from runloft.net.http_errors import release_frames
 from runloft.net.timing import pause
 
 log = structlog.get_logger()
@@ -50,6 +51,7 @@
                 await self.writer.linger()
         except (OSError, TimeoutError, h11.ProtocolError, anyio.ClosedResourceError) as error:
             log.debug("client connection ended with an exception", error=repr(error))
+            release_frames(error)
         finally:
             self.close(CloseReason.CLIENT_DISCONNECTED)
 
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -18,6 +18,7 @@
 )
 from runloft.listeners.objects.services import ListenerServices
 from runloft.listeners.objects.writing import ResponseWriter
+from runloft.net.http_errors import release_frames
 from runloft.net.http_heads import has_too_many_lines
 from runloft.net.timing import pause
 
@@ -56,6 +57,7 @@
         try:
             return await self._next_event(HEAD_TIMEOUT_S)
         except h11.RemoteProtocolError as error:
+            release_frames(error)
             status = error.error_status_hint
             raise ObjectApiError(status, "InvalidRequest", str(error), closes=True) from None
         except TimeoutError:
@@ -71,6 +73,7 @@
             try:
                 event = await self._next_event(BODY_TIMEOUT_S)
             except h11.RemoteProtocolError as error:
+                release_frames(error)
                 raise ObjectApiError(400, "IncompleteBody", str(error), closes=True) from None
             if isinstance(event, h11.Data) and len(body) + len(event.data) <= length:
                 body += event.data
--- a/runloft/upstream/connection.py
+++ b/runloft/upstream/connection.py
@@ -19,6 +19,7 @@
 from runloft.decisions.contract import AttemptOutcome
 from runloft.net.buffers import ReceiveBuffer
 from runloft.net.connecting import connect, new_client_socket
+from runloft.net.http_errors import release_frames
 from runloft.net.memory_budget import MemoryBudget
 from runloft.net.socket_state import close
 from runloft.upstream.errors import LOCAL_CONNECT_ERRORS
@@ -215,6 +216,7 @@
                 log.warning(
                     "node connection closed after an error", node=self.peer.node_uid, error=str(error)
                 )
+            release_frames(error)
         except Exception:  # limits the effect of unexpected bytes from a node to this connection
             log.exception("unexpected exception in a node connection", node=self.peer.node_uid)
         finally:
--- a/runloft/upstream/http_connection.py
+++ b/runloft/upstream/http_connection.py
@@ -8,6 +8,7 @@
 from runloft.core.model import AttemptFinished, Dispatch, ResponseBuffered, StreamStarted
 from runloft.core.timers import TimerHandle
 from runloft.decisions.contract import AttemptOutcome
+from runloft.net.http_errors import release_frames
 from runloft.net.http_heads import has_too_many_lines
 from runloft.upstream.connection import UpstreamConnection
 from runloft.upstream.errors import UnwritableRequestError, UpstreamProtocolError
@@ -57,6 +58,7 @@
                 chunks += self.protocol.send_with_data_passthrough(h11.Data(data=payload.body)) or []
             return chunks + (self.protocol.send_with_data_passthrough(h11.EndOfMessage()) or [])
         except h11.ProtocolError as error:
+            release_frames(error)
             raise UnwritableRequestError(str(error), self.peer.endpoint) from error
 
     async def process_received(self) -> None:
@@ -102,7 +104,8 @@
                 self.protocol.receive_data(b"")
                 if isinstance(self.protocol.next_event(), h11.EndOfMessage):
                     self._response_complete(self.protocol)
-            except h11.ProtocolError:
+            except h11.ProtocolError as error:
+                release_frames(error)
                 return  # an incomplete response: close() posts the outcome
 
     def _restart_stall_timer(self) -> None:
--- a/tests/listeners/test_object_limits.py
+++ b/tests/listeners/test_object_limits.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import tracemalloc
+import weakref
 
 import anyio
 import pytest
@@ -102,3 +103,34 @@
         sock.close()
 
     run_with_listener(ObjectHarness, scenario)
+
+
+INVALID_INPUTS = {
+    "request line": b"BAD 1\r\n\r\n",
+    "field": b"GET / HTTP/1.1\r\nHost : x\r\n\r\n",
+    "two lengths": REQUEST_LINE + b"Content-Length: 1\r\nContent-Length: 2\r\n\r\n",
+    "chunk": REQUEST_LINE.replace(b"tracks", b"none") + b"Transfer-Encoding: chunked\r\n\r\nz\r\n",
+    "body too short": REQUEST_LINE.replace(b"GET", b"PUT") + b"Content-Length: 9\r\n\r\nabc",
+    "too many fields": head_of_lines(MAX_HEAD_LINES + 1),
+}
+
+
+@pytest.mark.parametrize("name", INVALID_INPUTS)
+def test_a_connection_that_ends_by_an_error_is_free_without_a_garbage_collection(no_garbage_collection, name):
+    """Prevents hundreds of failing connections a second from exceeding the memory limit."""
+
+    async def scenario(harness):
+        sock, client = harness.connect()
+        sock.sendall(INVALID_INPUTS[name])
+        freed = [weakref.ref(part) for part in (client, client.protocol, client.reader, client.writer)]
+        del client
+        for _ in range(20):
+            await anyio.sleep(0)
+        sock.close()
+        for _ in range(200):
+            harness.advance(50)  # the rest of the body is waited for, and the client's close
+            await anyio.sleep(0)
+        assert not harness.listener.clients
+        assert [part() for part in freed] == [None] * 4
+
+    run_with_listener(ObjectHarness, scenario)
