Read HTTP bodies and heads by turns, and answer a request whose body is invalid

What callers saw: one client with a body of one-byte chunks for an unknown route made others wait for 0.85 s, six 3.7 s; with 100 of them requests had no answer and SIGTERM ended in a kill. A request with an invalid chunk was closed without an answer. Cause: discard_body read up to 64 KiB of chunks, one event a byte, without a yield, and a body that is in the socket was read in one go; a parser's error in it was only logged. Evidence: only the chunk form did it, and the test counts 4,000 events in one iteration on. Fix: after 16 events or reads a connection waits for a turn; a discarded body ends after 256 events with an answer and a close; HTTP requests that are already read wait for a turn, too, which costs four bursts. Class: a loop whose length a peer chooses.

--- a/runloft/listeners/objects/connection.py
+++ b/runloft/listeners/objects/connection.py
@@ -19,6 +19,7 @@
 from runloft.listeners.objects.writing import ResponseWriter
 from runloft.net.http_errors import release_frames
 from runloft.net.timing import pause
+from runloft.net.turns import HTTP_REQUEST_COST
 
 log = structlog.get_logger()
 SINGLE_HEADERS = (b"range", b"if-range", b"x-expires-in-ms")  # rejected if repeated
@@ -93,7 +94,9 @@
             seconds = slowdown_s(self.errors)
             if seconds:  # repeated invalid requests must not delay other clients
                 await pause(self.services.timers, self.services.clock, seconds)
-            else:  # nor must a flood of requests that are answered without waiting for anything
+            elif self.reader.unparsed_bytes():  # nor must a flood of requests that need no waiting
+                await self.services.turns.wait(HTTP_REQUEST_COST)
+            else:
                 await anyio.sleep(0)
 
     async def _serve_one(self) -> bool:
--- a/runloft/listeners/objects/limits.py
+++ b/runloft/listeners/objects/limits.py
@@ -2,6 +2,8 @@
 
 MAX_HEAD_BYTES = 16 << 10
 MAX_DISCARDED_BYTES = 64 << 10  # of the body of a request that is answered early
+MAX_DISCARDED_EVENTS = 256  # chunks or reads of such a body
+EVENT_BURST = 16  # events and reads of one connection in a row before other tasks run
 READ_AHEAD_MEMORY_DIVISOR = 16  # spare memory divided by this: limit for all that is read ahead
 BODY_MEMORY_DIVISOR = 8  # spare memory divided by this: limit for all bodies; others wait in sockets
 
--- a/runloft/listeners/objects/reading.py
+++ b/runloft/listeners/objects/reading.py
@@ -11,9 +11,11 @@
 from runloft.listeners.objects.errors import ObjectApiError
 from runloft.listeners.objects.limits import (
     BODY_TIMEOUT_S,
+    EVENT_BURST,
     HEAD_TIMEOUT_S,
     IDLE_TIMEOUT_S,
     MAX_DISCARDED_BYTES,
+    MAX_DISCARDED_EVENTS,
     MAX_HEAD_BYTES,
 )
 from runloft.listeners.objects.services import ListenerServices
@@ -41,6 +43,7 @@
         self._services = services
         self._read_ahead: deque[bytes] = deque()  # received while a request was served, for the parser
         self._read_ahead_bytes = 0
+        self._events_since_yield = 0  # and reads, without waiting
 
     def unparsed_bytes(self) -> int:
         """Return how many bytes have been received but not parsed."""
@@ -83,15 +86,23 @@
                 raise ObjectApiError(400, "IncompleteBody", "the body is not whole", closes=True)
 
     async def discard_body(self) -> None:
-        """Read the small body of a request that is answered early, so that the connection can be reused."""
+        """Read the small body of a request that is answered early, so that the connection can be reused.
+
+        The rest of a body that is invalid, late, long or in many chunks is not read.
+        """
         if self._protocol.they_are_waiting_for_100_continue:
             return
         discarded = 0
-        while self._protocol.their_state is h11.SEND_BODY and discarded < MAX_DISCARDED_BYTES:
-            event = await self._next_event(BODY_TIMEOUT_S)
-            if not isinstance(event, h11.Data):
-                return
-            discarded += len(event.data)
+        try:
+            for _ in range(MAX_DISCARDED_EVENTS):
+                if self._protocol.their_state is not h11.SEND_BODY or discarded >= MAX_DISCARDED_BYTES:
+                    return
+                event = await self._next_event(BODY_TIMEOUT_S)
+                discarded += len(event.data) if isinstance(event, h11.Data) else 0
+        except h11.RemoteProtocolError as error:
+            release_frames(error)
+        except TimeoutError:
+            return
 
     async def wait_for_disconnect(self) -> None:
         """Read ahead while a request is being served, and return once the client has disconnected."""
@@ -124,10 +135,20 @@
                 # Waiting in a handler would keep the exception and its frames in memory.
                 if data is None:
                     await anyio.wait_readable(self._sock)
+                    self._events_since_yield = 0
                 else:
                     self._protocol.receive_data(data)
+                    await self._yield_after_burst()
+            await self._yield_after_burst()
         return event
 
+    async def _yield_after_burst(self) -> None:
+        """Count an event or a read, and after a burst of them wait for a turn, as other tasks have to run."""
+        self._events_since_yield += 1
+        if self._events_since_yield >= EVENT_BURST:
+            self._events_since_yield = 0
+            await self._services.turns.wait()
+
     def _next_input(self) -> bytes:
         """Return what was read ahead, or read once; raise BlockingIOError if there is no input."""
         if not self._read_ahead:
--- a/runloft/listeners/objects/writing.py
+++ b/runloft/listeners/objects/writing.py
@@ -17,6 +17,7 @@
 
 XML_DECLARATION = '<?xml version="1.0" encoding="UTF-8"?>\n'
 LINGER_READ_BYTES = 65536
+UNFINISHED_STATES = (h11.SEND_BODY, h11.ERROR)  # of a client whose request has not been read completely
 
 
 def error_document(error: ObjectApiError) -> str:
@@ -81,7 +82,7 @@
         headers = [("Content-Type", "application/xml"), ("Content-Length", str(len(body)))]
         if retry_after_ns:
             headers.append(("Retry-After", str(max(1, math.ceil(retry_after_ns / 1e9)))))
-        if closes or self._services.stopping or self._protocol.their_state is h11.SEND_BODY:
+        if closes or self._services.stopping or self._protocol.their_state in UNFINISHED_STATES:
             headers.append(("Connection", "close"))
         await self.write(h11.Response(status_code=status, headers=headers))
         if self.request_method != b"HEAD":
@@ -109,4 +110,5 @@
                 if not data:
                     return
                 remaining -= len(data)
+                await self._services.turns.wait()
             await anyio.sleep_forever()
--- a/tests/listeners/test_fairness.py
+++ b/tests/listeners/test_fairness.py
@@ -3,6 +3,7 @@
 import anyio
 import pytest
 
+from runloft.listeners.objects.limits import EVENT_BURST, MAX_DISCARDED_EVENTS
 from runloft.listeners.objects.reading import RequestReader
 from runloft.listeners.resp.limits import COMMAND_BURST, MAX_ERRORS, MAX_PIPELINED, REFUSAL_BURST
 from runloft.listeners.resp.pipelining import BUSY
@@ -16,6 +17,8 @@
 # A receive buffer of 4 KiB holds fewer of these than a burst.
 LONG_PING = resp_array(b"PING", b"p" * 300)
 UNKNOWN_VOLUME = b"GET /volumes/none/objects/k HTTP/1.1\r\nHost: x\r\n\r\n"
+MANY_CHUNKS = b"1\r\nx\r\n" * 4000
+CHUNKED = b"GET /volumes/none/objects/k HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n"
 UNKNOWN_UPLOAD = b"GET /volumes/tracks/objects/k?uploadId=- HTTP/1.1\r\nHost: x\r\n\r\n"
 
 
@@ -70,6 +73,53 @@
     run_with_listener(ObjectHarness, scenario)
 
 
+def test_a_body_of_many_chunks_that_is_discarded_yields_to_other_clients(monkeypatch):
+    """Prevents one-byte chunks from holding the event loop for seconds."""
+    calls = count_calls(monkeypatch, RequestReader, "_parse_event")
+
+    async def scenario(harness):
+        sock, _ = harness.connect()
+        sock.sendall(CHUNKED + MANY_CHUNKS)
+        assert await max_calls_per_iteration(calls, 2 * EVENT_BURST) <= 2 * EVENT_BURST
+        response = await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert len(calls) <= 2 * MAX_DISCARDED_EVENTS
+        assert response.startswith(b"HTTP/1.1 404 ") and b"Connection: close" in response
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
+
+
+def test_a_long_body_that_is_there_at_once_yields_to_other_clients(monkeypatch):
+    """Prevents a body of megabytes from being read in one iteration of the event loop."""
+    calls = count_calls(monkeypatch, RequestReader, "_next_input")
+    body = b"b" * (1 << 20)
+    head = b"PUT /volumes/tracks/objects/k HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n" % len(body)
+
+    async def scenario(harness):
+        sock, client = harness.connect()
+        client.reader._read_ahead.extend([head, *(body[at : at + 4096] for at in range(0, len(body), 4096))])
+        sock.sendall(b"x")  # of the next request
+        assert await max_calls_per_iteration(calls, len(body) // 4096) <= 2 * EVENT_BURST
+        await harness.wait_until(harness.received)
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
+
+
+@pytest.mark.parametrize("ending", [b"z\r\n", b"1\r\nxy"])
+def test_a_request_with_an_invalid_body_is_answered_before_its_connection_is_closed(ending):
+    """Prevents a request that was read from being closed without an answer."""
+
+    async def scenario(harness):
+        sock, _ = harness.connect()
+        sock.sendall(CHUNKED + ending)
+        response = await anyio.to_thread.run_sync(sock.recv, 4096)
+        assert response.startswith(b"HTTP/1.1 404 ") and b"Connection: close" in response
+        sock.close()
+
+    run_with_listener(ObjectHarness, scenario)
+
+
 UNKNOWN = resp_array(b"UNKNOWN")
 EMPTY = b"*0\r\n"
 UNKNOWN_ANSWER = b"-ERR unknown command\r\n"
