Judge silences and timeouts after a look at the socket, and say what was silent

What callers saw: after a late iteration the watch on discovery ended with EBADF or ClosedResourceError though discovery had sent its lines, and lists came late. Cause: timers judged a silence before the tasks had read what arrived in the meantime; the timer closed the socket under its reader, which then met the closed descriptor. A client's command is postponed once, so that a trickle doesn't extend its time. Class: a decision from a view that is older than the sockets'.

--- a/runloft/discovery/errors.py
+++ b/runloft/discovery/errors.py
@@ -20,6 +20,15 @@
         self.peer = peer
 
 
+class WatchSilentError(RunloftError, OSError):
+    """Discovery at ``peer`` sent nothing for ``silent_s`` seconds, and the call was closed."""
+
+    def __init__(self, silent_s: float, peer: SocketAddress) -> None:
+        super().__init__(f"discovery at {peer[0]}:{peer[1]} was silent for {silent_s:.1f} s")
+        self.silent_s = silent_s
+        self.peer = peer
+
+
 # Errors caused by the connection to discovery or by the data received from it; the watch is reopened then.
 WATCH_ERRORS = (
     ArithmeticError,
--- a/runloft/listeners/resp/lifetime.py
+++ b/runloft/listeners/resp/lifetime.py
@@ -9,6 +9,7 @@
 import socket
 from collections.abc import Callable, Iterator
 from contextlib import contextmanager
+from functools import partial
 from itertools import count
 from typing import Protocol
 
@@ -31,6 +32,7 @@
     RECHECK_INTERVAL_NS,
     REFUSAL_BURST,
     RESPONSE_BYTES,
+    UNREAD_RECHECK_NS,
     WRITE_STALL_TIMEOUT_NS,
 )
 from runloft.listeners.resp.memory import MemoryAccount, MemoryShare
@@ -39,6 +41,7 @@
 from runloft.listeners.resp.writing import ResponseWriter
 from runloft.net import resp2
 from runloft.net.loop_activity import LOOP_ACTIVITY, Work
+from runloft.net.socket_state import is_writable
 from runloft.net.timing import Clock
 from runloft.net.turns import TurnQueue
 
@@ -276,28 +279,44 @@
         except resp2.RespError:
             return None
 
-    def _check_timeouts(self) -> None:
-        """Close a client that exceeds a timeout; bytes of an incomplete command do not extend its timeout."""
+    def _check_timeouts(self, is_postponed: bool = False) -> None:
+        """Close a client that exceeds a timeout; bytes of an incomplete command do not extend its timeout.
+
+        If this process was late, what has arrived is read and the socket written to first: ``is_postponed``.
+        """
         if self.closed:
             return
         now = self.listener.clock()
         incomplete_since = self.reader.incomplete_since
         since = self.last_activity_at if incomplete_since is None else incomplete_since
         timeout_ns = self._timeout_ns()
-        if self.writer.outbox.size and now - self.writer.progress_at > WRITE_STALL_TIMEOUT_NS:
-            self.close(CloseReason.NOT_READING)
+        is_stalled = self._is_write_stalled(now)
+        is_late = not self.is_closing and now - since >= timeout_ns
+        if (is_stalled or is_late) and not is_postponed and self._has_unseen_progress():
+            check_again = partial(self._check_timeouts, True)
+            self._timer = self.listener.timers.add(now + UNREAD_RECHECK_NS, check_again)
             return
-        if not self.is_closing and now - since >= timeout_ns:
-            if incomplete_since is None:
-                self.close_if_idle(CloseReason.IDLE)
-            else:
-                self.fail("the command was not whole in time")
+        if is_stalled:
+            self.close(CloseReason.NOT_READING)
+        elif is_late and incomplete_since is None:
+            self.close_if_idle(CloseReason.IDLE)
+        elif is_late:
+            self.fail("the command was not whole in time")
         if not self.closed:
             due = min(since + timeout_ns, now + PRESSURE_IDLE_TIMEOUT_NS)
             if due <= now:
                 due = now + RECHECK_INTERVAL_NS
             self._timer = self.listener.timers.add(due, self._check_timeouts)
 
+    def _is_write_stalled(self, now: int) -> bool:
+        return bool(self.writer.outbox.size) and now - self.writer.progress_at > WRITE_STALL_TIMEOUT_NS
+
+    def _has_unseen_progress(self) -> bool:
+        """Return whether the socket has input, or takes responses, and the tasks haven't run since."""
+        if self.writer.outbox.size:
+            return is_writable(self.sock)
+        return self.has_unread_input()
+
     def _timeout_ns(self) -> int:
         """Return the timeout that applies now: for a command's completion, or between requests."""
         if not self.has_sent_command or self.reader.incomplete_since is not None:
--- a/runloft/listeners/resp/limits.py
+++ b/runloft/listeners/resp/limits.py
@@ -25,6 +25,7 @@
 SLOW_COMMAND_NS = 500_000_000  # an incomplete command this old fails if its connection's place is needed
 IDLE_TIMEOUT_NS = 15_000_000_000  # between requests
 PRESSURE_IDLE_TIMEOUT_NS = 2_000_000_000  # between requests, under connection pressure
+UNREAD_RECHECK_NS = 50_000_000  # until a timeout is judged again, if input had arrived that was not read yet
 RECHECK_INTERVAL_NS = PRESSURE_IDLE_TIMEOUT_NS // 8  # of expired connections that could not be closed
 WRITE_STALL_TIMEOUT_NS = 5_000_000_000  # a client that reads nothing for this long is closed
 LINGER_NS = 300_000_000  # wait for the client to close after the last response
--- a/runloft/net/socket_state.py
+++ b/runloft/net/socket_state.py
@@ -44,6 +44,16 @@
     return {descriptor for descriptor, _ in poll.poll(0)}
 
 
+def is_writable(sock: socket.socket) -> bool:
+    """Return whether the socket takes bytes now; False once it is closed."""
+    descriptor = sock.fileno()
+    if descriptor < 0:
+        return False
+    poll = select.poll()
+    poll.register(descriptor, select.POLLOUT)
+    return any(events & select.POLLOUT for _, events in poll.poll(0))
+
+
 def data_age_ns(sock: socket.socket) -> int:
     """Return the time since the kernel received the last data (TCP_INFO in tcp(7)), or 0 if it is unknown."""
     try:
--- a/runloft/service/runner.py
+++ b/runloft/service/runner.py
@@ -30,6 +30,8 @@
 log = structlog.get_logger()
 NS_PER_MS = 1_000_000
 SLOW_ITERATION_NS = 15_000_000  # longer iterations put responses near their deadline at risk
+HELD_UP_NS = 50_000_000  # lateness after which sockets are read before timers are processed
+SOCKET_READ_ITERATIONS = 3  # of the event loop: it polls the sockets, wakes the tasks and lets them read
 QUEUED_REQUEST_BYTES = 2048  # of a queued request besides its payload
 MAX_CLOCK_ERROR_NS = 500_000_000  # beyond this the wall clock is considered unreliable
 
@@ -86,8 +88,16 @@
                     await self._wake.wait()
             else:
                 await anyio.sleep(0)
+            await self._read_sockets_if_held_up()
             self.process_events()
 
+    async def _read_sockets_if_held_up(self) -> None:
+        """After a hold, have the other tasks read what has arrived before timers judge a silence."""
+        due = self.core.next_at(self.clock())
+        if due is not None and self.clock() - due > HELD_UP_NS:
+            for _ in range(SOCKET_READ_ITERATIONS):
+                await anyio.sleep(0)
+
     def process_events(self) -> None:
         """Run one iteration; log a warning if it started late or took long."""
         started_at = self.clock()
--- a/runloft/upstream/resp_connection.py
+++ b/runloft/upstream/resp_connection.py
@@ -1,16 +1,16 @@
 """Upstream connections to storage nodes over RESP2, with one reply per command."""
 
-from functools import partial
-
 from runloft.core.counters import NodeCloseReason
 from runloft.core.model import AttemptFinished, Dispatch
 from runloft.decisions.contract import AttemptOutcome
 from runloft.net import resp2
+from runloft.net.socket_state import nothing_to_read
 from runloft.upstream.connection import UpstreamConnection
 from runloft.upstream.errors import UpstreamProtocolError
 from runloft.upstream.payloads import RespPayload
 
 UNRESERVED_REPLY_BYTES = 16 << 10  # size up to which a reply needs no share of the memory budget
+UNREAD_RECHECK_NS = 20_000_000  # until a stall is judged again, if data had arrived that was not read yet
 STALL_TIMEOUT_NS = 250_000_000  # maximum time without received data within a reply
 NODE_FULL = b"BUSY"
 
@@ -55,8 +55,15 @@
         self.timer = None
         if not self.closed:
             # Without this timeout a reply that stalls would use up the request's time for a retry.
-            on_timeout = partial(self.close, NodeCloseReason.STALLED)
-            self.timer = pool.deadlines.add(pool.clock() + STALL_TIMEOUT_NS, on_timeout)
+            self.timer = pool.deadlines.add(pool.clock() + STALL_TIMEOUT_NS, self._close_if_stalled)
+
+    def _close_if_stalled(self) -> None:
+        """Close the connection, unless data has arrived that this process has been too late to read."""
+        if nothing_to_read(self.sock):
+            self.close(NodeCloseReason.STALLED)
+        else:
+            pool = self.pool
+            self.timer = pool.deadlines.add(pool.clock() + UNREAD_RECHECK_NS, self._close_if_stalled)
 
     async def _reserve_reply_memory(self, size: int) -> None:
         """Wait for memory for a long reply, so that many of them at once can't exhaust the memory.
--- a/tests/listeners/test_resp_memory_bound.py
+++ b/tests/listeners/test_resp_memory_bound.py
@@ -126,6 +126,40 @@
     run_with_listener(RespHarness, scenario)
 
 
+def test_a_command_whose_end_arrived_during_a_hold_is_not_late():
+    """Prevents a process that was held up from failing a command that it has not read yet."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(PING + HALF_A_COMMAND)
+        (client,) = harness.listener.clients
+        await harness.wait_until(lambda: client.reader.incomplete_since)
+        sock.sendall(write_command(64 << 10)[2000:])
+        harness.advance(2700)  # the event loop hasn't run since
+        assert not client.is_closing
+        await harness.wait_until(harness.received)
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
+
+
+def test_a_command_that_stays_incomplete_fails_in_time_whatever_arrives():
+    """Prevents bytes that always are unread from extending the time of a command without end."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(PING + HALF_A_COMMAND)
+        (client,) = harness.listener.clients
+        await harness.wait_until(lambda: client.reader.incomplete_since)
+        for _ in range(2):
+            sock.sendall(b"x")
+            harness.advance(2650)
+        assert client.is_closing
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
+
+
 def test_complete_commands_before_a_failed_one_are_answered():
     """Guards against a request that was read and never answered, when the one behind it fails."""
 
--- a/tests/upstream/test_replies.py
+++ b/tests/upstream/test_replies.py
@@ -31,6 +31,27 @@
     run_scenario(monkeypatch, scenario)
 
 
+def test_a_reply_that_arrived_during_a_hold_is_no_stall(monkeypatch):
+    """Prevents a process that was held up from closing a connection whose reply it has not read yet."""
+
+    async def scenario(harness):
+        harness.may_connect.set()
+        sink = harness.receive_request()
+        conn = await harness.accept_at_node()
+        conn.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        conn.sendall(VALUE[:5])
+        (connection,) = harness.pool.open
+        await until(lambda: connection.inbox.end == 5)
+        conn.sendall(VALUE[5:])
+        harness.process_events(after_ms=400)  # the event loop hasn't run since
+        assert not connection.closed
+        await until(lambda: connection.current is None)
+        harness.process_events()
+        assert [reply.value for reply in sink.replies] == [b"ok"]
+
+    run_scenario(monkeypatch, scenario)
+
+
 @pytest.mark.parametrize(
     "size, expected_sends, outcome",
     [(0, 1, AttemptOutcome.RESET), (8 << 20, 2, AttemptOutcome.CONNECT_FAILED)],
