--- a/runloft/lab/crowd/run.py
+++ b/runloft/lab/crowd/run.py
@@ -51,6 +51,7 @@
     seconds: float = 6.0
     restart_s: float = 0.0
     reloads: bool = False
+    source: Path | None = None  # the folder of the version that is played, by default this one
 
 
 @dataclass(slots=True)
@@ -79,7 +80,12 @@
 
     def document(self) -> dict[str, Any]:
         """Return the result as JSON."""
-        return asdict(self) | {"ordinary_seconds": None, "ordinary_p99_ms": round(self.p99_ms(), 1)}
+        play = asdict(self.play) | {"source": str(self.play.source or "")}
+        return asdict(self) | {
+            "play": play,
+            "ordinary_seconds": None,
+            "ordinary_p99_ms": round(self.p99_ms(), 1),
+        }
 
 
 class CrowdRun:
@@ -91,7 +97,9 @@
         self.result = CrowdResult(settings)
         self.discovery = LabDiscovery()
         self.nodes = [LabNode(f"s-{index}", index, NODE_KIND) for index in range(NODES)]
-        self.process = CrowdProcess(folder, port, settings.memory_mb, settings.descriptors)
+        self.process = CrowdProcess(
+            folder, port, settings.memory_mb, settings.descriptors, source=settings.source
+        )
         self.ends_at = 0.0
         self.random = Random(f"crowd/{settings.form}")
 
--- a/runloft/lab/crowd/shutdown.py
+++ b/runloft/lab/crowd/shutdown.py
@@ -46,6 +46,7 @@
     serving_s: float
     node_ms: float
     extra_signals: tuple[tuple[float, signal.Signals], ...]
+    source: Path | None = None  # the folder of the version that is played, by default this one
 
     @property
     def kill_s(self) -> float:
@@ -98,7 +99,9 @@
         self.discovery = LabDiscovery()
         kind = NodeKind(cores=400, unit_ms=play.node_ms / 2, max_in_flight=100_000)
         self.nodes = [LabNode(f"s-{index}", index, kind) for index in range(NODES)]
-        self.process = CrowdProcess(folder, port, MEMORY_MB, DESCRIPTORS, deadline_ms=play.deadline_ms)
+        self.process = CrowdProcess(
+            folder, port, MEMORY_MB, DESCRIPTORS, deadline_ms=play.deadline_ms, source=play.source
+        )
         self.terminated_at: float | None = None
         self.random = Random(f"clients/{play.seed}")
 
--- a/runloft/lab/flood/commands.py
+++ b/runloft/lab/flood/commands.py
@@ -7,8 +7,8 @@
 from pathlib import Path
 
 from runloft.config.tool.output import usage_error
-from runloft.lab.flood.forms import FloodForm
 from runloft.lab.flood.run import FloodPlay, FloodResult, run_play
+from runloft.lab.flooder.forms import FloodForm
 
 UNSOUND_TARGET_MS = 50.0  # longest wait beside an unsound flood, on a whole core
 CLASS_TARGET_MS = 300.0  # latency objective of the ordinary clients' class
--- a/runloft/lab/flood/run.py
+++ b/runloft/lab/flood/run.py
@@ -20,7 +20,8 @@
 from runloft.lab.crowd.forms import AnswerCounts, read_answers, read_request
 from runloft.lab.crowd.process import CrowdProcess
 from runloft.lab.discovery import LabDiscovery
-from runloft.lab.flood.forms import FloodForm, Protocol
+from runloft.lab.flooder.forms import FloodForm, Protocol
+from runloft.lab.flooder.process import command
 from runloft.lab.node import LabNode, NodeKind
 from runloft.lab.redis import RedisStandIn
 from runloft.lab.requests import quantile
@@ -181,12 +182,10 @@
     async def _flood(self) -> bytes:
         play = self.play
         port = self.http_port if play.form.protocol is Protocol.HTTP else self.resp_port
-        command = [sys.executable, "-m", "runloft.lab.flood.flooder", "--port", str(port)]
-        command += ["--form", play.form, "--connections", str(play.connections)]
-        command += ["--seconds", str(play.seconds)]
-        if not play.reads:
-            command.append("--no-reading")
-        return (await anyio.run_process(command)).stdout
+        flooding = command(
+            port, play.form, seconds=play.seconds, connections=play.connections, reads=play.reads
+        )
+        return (await anyio.run_process(flooding)).stdout
 
     async def _run_idle_client(self) -> None:
         try:
--- a/runloft/lab/flood/forms.py
+++ b/runloft/lab/flooder/forms.py
@@ -67,6 +67,9 @@
         return self is FloodForm.RESP_READ
 
 
+UNSOUND_RESP_FORMS = tuple(form for form in FloodForm if form.protocol is Protocol.RESP and not form.is_sound)
+
+
 @dataclass(frozen=True, slots=True)
 class FloodInput:
     """The bytes of a flood: ``opening`` once for each connection, then ``block`` again and again."""
--- a/runloft/lab/flood/flooder.py
+++ b/runloft/lab/flooder/process.py
@@ -1,6 +1,6 @@
 """The flooding client, a program of its own: it writes prepared input as fast as the sockets take it.
 
-Only ``runloft lab flood`` starts ``python -m runloft.lab.flood.flooder``. It prints its counts as JSON.
+The laboratory starts it by ``command``. It prints its counts as JSON.
 """
 
 import argparse
@@ -12,8 +12,8 @@
 from contextlib import suppress
 from dataclasses import asdict, dataclass, field
 
-from runloft.lab.flood.forms import FloodForm, FloodInput, prepare
-from runloft.lab.soak.shim import exit_with_parent
+from runloft.lab.flooder.forms import FloodForm, FloodInput, prepare
+from runloft.lab.parent import exit_with_parent
 
 POLL_MS = 20
 RECEIVE_BYTES = 1 << 18
@@ -41,6 +41,15 @@
     poll_mask: int = field(default=0)
 
 
+def command(
+    port: int, form: FloodForm, *, seconds: float, connections: int = 1, reads: bool = True
+) -> list[str]:
+    """Return the command line of a flooding process."""
+    words = [sys.executable, "-m", "runloft.lab.flooder.process", "--port", str(port), "--form", str(form)]
+    words += ["--connections", str(connections), "--seconds", str(seconds)]
+    return words if reads else [*words, "--no-reading"]
+
+
 class Flooder:
     """Keeps a number of connections open, and sends on all of them."""
 
--- a/runloft/lab/soak/commands.py
+++ b/runloft/lab/soak/commands.py
@@ -23,7 +23,10 @@
         schedules = schedules_from(options)
     except ScheduleError as error:
         return usage_error(str(error))
-    player = Player(Path(options.keep) if options.keep else None)
+    player = Player(
+        Path(options.keep) if options.keep else None,
+        Path(options.source).resolve() if options.source else None,
+    )
     results = _play_all(schedules, player, shrink=options.shrink)
     verdicts = Counter(result.verdict for result in results)
     requests = sum(result.requests for result in results)
--- a/runloft/lab/soak/fault_player.py
+++ b/runloft/lab/soak/fault_player.py
@@ -11,12 +11,15 @@
 import anyio
 
 from runloft.lab.discovery import Instances
+from runloft.lab.flooder.forms import UNSOUND_RESP_FORMS
+from runloft.lab.flooder.process import command
 from runloft.lab.soak.discovery import SoakDiscovery
 from runloft.lab.soak.nodes import SoakNode
 from runloft.lab.soak.processes import SoakProcess
 from runloft.lab.soak.records import NodeChangeKind
 from runloft.lab.soak.schedule import Fault, FaultKind
 
+FLOODS = 3  # flooding connections
 MAX_EXTRA_RELOADS = 3
 DRAIN_EXTRA_S = 1.0
 MS_PER_S = 1000
@@ -49,6 +52,8 @@
                 await self._play_process_fault(fault, self.processes[fault.target])
             case "discovery":
                 await self._play_discovery_fault(fault, self.agents[fault.target])
+            case "client" if fault.kind is FaultKind.CLIENT_FLOOD:
+                await self._flood(fault, self.processes[fault.target])
             case "node":
                 await self._play_node_list_fault(fault, self.nodes[fault.target])
 
@@ -65,6 +70,12 @@
             case FaultKind.PROCESS_KILL:
                 await self._restart(process, process.kill)
 
+    async def _flood(self, fault: Fault, process: SoakProcess) -> None:
+        """Flood a process from one of its own, also while it is stopped and started again."""
+        forms = UNSOUND_RESP_FORMS
+        form = forms[min(len(forms) - 1, int(fault.amount * len(forms)))]
+        await anyio.run_process(command(process.port, form, seconds=fault.for_s, connections=FLOODS))
+
     async def _reload(self, fault: Fault, process: SoakProcess) -> None:
         for _ in range(1 + int(fault.amount * MAX_EXTRA_RELOADS)):
             process.write_config(self.instances.list_document())
--- a/runloft/lab/soak/options.py
+++ b/runloft/lab/soak/options.py
@@ -34,6 +34,7 @@
         metavar="MS,...",
         help="instead of random faults: clients that leave, and process stops of so many ms (0: none)",
     )
+    soak.add_argument("--source", metavar="DIR", help="run the version whose source lies in DIR")
     soak.add_argument("--schedule", metavar="FILE", help="run this schedule instead of seeds")
     soak.add_argument(
         "--shrink",
--- a/runloft/lab/soak/playing.py
+++ b/runloft/lab/soak/playing.py
@@ -22,15 +22,19 @@
 
 @dataclass(frozen=True, slots=True)
 class Player:
-    """Runs schedules; ``keep_dir`` is the directory for the files of runs with violations."""
+    """Runs schedules; ``keep_dir`` is the directory for the files of runs with violations.
+
+    ``source`` is the folder of the version to run, by default this one.
+    """
 
     keep_dir: Path | None = None
+    source: Path | None = None
 
     def play(self, schedule: Schedule) -> SeedResult:
         """Run a schedule and check its records and logs."""
         with tempfile.TemporaryDirectory(prefix="runloft-soak-", ignore_cleanup_errors=True) as name:
             folder = Path(name)
-            record = anyio.run(SoakRun(schedule, folder).play)
+            record = anyio.run(SoakRun(schedule, folder, self.source).play)
             logs = sorted(folder.glob("process-*.log"))
             sorted_violations = sort_violations(check(record, logs), logs)
             violations = sorted_violations.broken
--- a/runloft/lab/soak/processes.py
+++ b/runloft/lab/soak/processes.py
@@ -41,6 +41,7 @@
         discovery: str,
         record: RunRecord,
         epoch: float,
+        source: Path | None = None,
     ) -> None:
         self.index = index
         self.port = port
@@ -49,6 +50,7 @@
         self.discovery = discovery
         self.record = record
         self.epoch = epoch  # the run's start on the monotonic clock
+        self.source = source  # the folder of the version to start, by default this one
         self.process: anyio.abc.Process | None = None
         self.is_restarting = False  # set while a fault stops and starts the process
         self.random = Random(f"process/{schedule.seed}/{index}")
@@ -92,7 +94,13 @@
         variables = os.environ | {"NO_COLOR": "1"} | environment(self._system_call_faults(), self.index)
         with self.log.open("ab") as log:
             self.process = await anyio.open_process(
-                command, stdin=DEVNULL, stdout=log, stderr=log, env=variables, start_new_session=True
+                command,
+                stdin=DEVNULL,
+                stdout=log,
+                stderr=log,
+                env=variables,
+                start_new_session=True,
+                cwd=self.source,
             )
         self.record.add_event(self.index, ProcessEventKind.SPAWNED)
         with anyio.move_on_after(START_TIMEOUT_S):
--- a/runloft/lab/soak/run.py
+++ b/runloft/lab/soak/run.py
@@ -28,11 +28,12 @@
 
 
 class SoakRun:
-    """A single run of a schedule."""
+    """A single run of a schedule; ``source`` is the folder of the version to run, by default this one."""
 
-    def __init__(self, schedule: Schedule, folder: Path) -> None:
+    def __init__(self, schedule: Schedule, folder: Path, source: Path | None = None) -> None:
         self.schedule = schedule
         self.folder = folder
+        self.source = source
         self.record = RunRecord()
         self.epoch = time.monotonic() + UNSTARTED_OFFSET_S  # replaced once all stand-ins listen
         self.instances = Instances()
@@ -76,7 +77,16 @@
         """Set the run's start and return the processes, which are not started yet."""
         self.epoch = time.monotonic() + START_DELAY_S + START_DELAY_PER_PROCESS_S * self.schedule.processes
         return [
-            SoakProcess(index, port, self.schedule, self.folder, agent.address, self.record, self.epoch)
+            SoakProcess(
+                index,
+                port,
+                self.schedule,
+                self.folder,
+                agent.address,
+                self.record,
+                self.epoch,
+                self.source,
+            )
             for index, (agent, port) in enumerate(zip(self.agents, ports, strict=True))
         ]
 
--- a/runloft/lab/soak/schedule.py
+++ b/runloft/lab/soak/schedule.py
@@ -60,6 +60,7 @@
     CLIENT_HALF_COMMAND = "client-half-command"
     CLIENT_SLOW_READER = "client-slow-reader"
     CLIENT_RECONNECT = "client-reconnect"
+    CLIENT_FLOOD = "client-flood"  # not drawn unless it is named: the amount selects the form
 
     @property
     def family(self) -> str:
@@ -67,7 +68,8 @@
         return self.partition("-")[0]
 
 
-ALL_KINDS = tuple(kind for kind in FaultKind if kind is not FaultKind.PROCESS_STOP)
+UNDRAWN_KINDS = frozenset((FaultKind.PROCESS_STOP, FaultKind.CLIENT_FLOOD))
+ALL_KINDS = tuple(kind for kind in FaultKind if kind not in UNDRAWN_KINDS)
 SYSTEM_KINDS = frozenset(kind for kind in FaultKind if kind.family == "system")
 NODE_KINDS = frozenset(kind for kind in FaultKind if kind.family == "node")
 
--- a/runloft/lab/soak/shim.py
+++ b/runloft/lab/soak/shim.py
@@ -4,7 +4,6 @@
 environment. Its times are of the monotonic clock, which all processes share and no fault changes.
 """
 
-import ctypes
 import errno
 import functools
 import json
@@ -20,8 +19,9 @@
 from random import Random
 from typing import Any
 
+from runloft.lab.parent import exit_with_parent
+
 ENVIRONMENT_KEY = "RUNLOFT_SOAK_FAULTS"
-PR_SET_PDEATHSIG = 1
 NS_PER_S = 1e9
 WALL_CLOCK = "system-wall-clock"
 ERRORS_BY_KIND = {
@@ -108,13 +108,6 @@
     time.time_ns = lambda: original_time_ns() + injector.wall_clock_offset_ns()
 
 
-def exit_with_parent() -> None:
-    """Make the kernel kill this process when the soak process ends in any way; see prctl(2)."""
-    ctypes.CDLL(None).prctl(PR_SET_PDEATHSIG, signal.SIGKILL)
-    if os.getppid() == 1:
-        os._exit(1)  # the soak ended before the call of prctl
-
-
 def main() -> int:
     """Install the faults and run the program's command line."""
     # As in ``runloft.__main__``: a reload signal during the start stays pending until it can be handled.
--- a/tests/lab/flood/test_commands.py
+++ b/tests/lab/flood/test_commands.py
@@ -5,8 +5,8 @@
 from runloft.arguments import build_parser
 from runloft.lab.crowd.forms import AnswerCounts
 from runloft.lab.flood.commands import has_passed, plays_from, report_line
-from runloft.lab.flood.forms import BLOCK_BYTES, FloodForm, prepare
 from runloft.lab.flood.run import FloodPlay, FloodResult
+from runloft.lab.flooder.forms import BLOCK_BYTES, FloodForm, prepare
 
 
 def options(*arguments):
--- a/tests/lab/flood/test_floods.py
+++ b/tests/lab/flood/test_floods.py
@@ -3,8 +3,8 @@
 import pytest
 
 from runloft.lab.flood.commands import CLASS_TARGET_MS, report_line
-from runloft.lab.flood.forms import FloodForm
 from runloft.lab.flood.run import FloodPlay, run_play
+from runloft.lab.flooder.forms import FloodForm
 
 FORMS = (
     FloodForm.RESP_UNKNOWN_COMMAND,
--- a/tests/lab/soak/test_schedule.py
+++ b/tests/lab/soak/test_schedule.py
@@ -45,5 +45,7 @@
     assert free.faults == tuple(fault for fault in held.faults if fault not in stops)
 
 
-def test_stops_are_not_drawn_among_random_faults():
+def test_stops_and_floods_are_not_drawn_among_random_faults():
     assert FaultKind.PROCESS_STOP not in ALL_KINDS
+    assert FaultKind.CLIENT_FLOOD not in ALL_KINDS
+    assert len(ALL_KINDS) == len(FaultKind) - 2
