--- a/runloft/arguments.py
+++ b/runloft/arguments.py
@@ -37,6 +37,7 @@
 def _add_lab_parser(commands: Subparsers) -> None:
     from runloft.lab.crowd import options as crowd_options
     from runloft.lab.flood import options as flood_options
+    from runloft.lab.qualify import options as qualify_options
     from runloft.lab.scale import options as scale_options
     from runloft.lab.soak import options as soak_options
 
@@ -50,6 +51,7 @@
     crowd_options.add_parser(actions)
     crowd_options.add_shutdowns_parser(actions)
     flood_options.add_parser(actions)
+    qualify_options.add_parser(actions)
 
 
 def _add_scenario_parser(actions: Subparsers) -> None:
--- a/runloft/cli.py
+++ b/runloft/cli.py
@@ -100,6 +100,10 @@
             from runloft.lab.flood import commands as flood
 
             return flood.run
+        case "qualify":
+            from runloft.lab.qualify import commands as qualify
+
+            return qualify.run
         case "shutdowns":
             from runloft.lab.crowd import commands as crowd
 
--- a/runloft/lab/crowd/run.py
+++ b/runloft/lab/crowd/run.py
@@ -206,7 +206,7 @@
         return False
 
 
-def run_play(settings: CrowdPlay) -> CrowdResult:
-    """Run one play with its own folder and port."""
+def run_play(settings: CrowdPlay, folder: Path | None = None) -> CrowdResult:
+    """Run one play with its own port; ``folder``, by default a temporary one, gets its logs."""
     with tempfile.TemporaryDirectory(prefix="runloft-crowd-") as name, reserved_ports(1) as ports:
-        return anyio.run(CrowdRun(settings, Path(name), ports[0]).run)
+        return anyio.run(CrowdRun(settings, folder or Path(name), ports[0]).run)
--- a/runloft/lab/crowd/shutdown.py
+++ b/runloft/lab/crowd/shutdown.py
@@ -166,7 +166,7 @@
                 await anyio.sleep(RECONNECT_S)
 
 
-def run_shutdown(play: ShutdownPlay) -> ShutdownResult:
-    """Run one shutdown with its own folder and port."""
+def run_shutdown(play: ShutdownPlay, folder: Path | None = None) -> ShutdownResult:
+    """Run one shutdown with its own port; ``folder``, by default a temporary one, gets its logs."""
     with tempfile.TemporaryDirectory(prefix="runloft-shutdown-") as name, reserved_ports(1) as ports:
-        return anyio.run(ShutdownRun(play, Path(name), ports[0]).run)
+        return anyio.run(ShutdownRun(play, folder or Path(name), ports[0]).run)
--- a/runloft/lab/flood/run.py
+++ b/runloft/lab/flood/run.py
@@ -287,8 +287,8 @@
     }
 
 
-def run_play(play: FloodPlay) -> FloodResult:
-    """Run one play with its own folder and ports."""
+def run_play(play: FloodPlay, folder: Path | None = None) -> FloodResult:
+    """Run one play with its own ports; ``folder``, by default a temporary one, gets its logs."""
     gc.freeze()  # a collection of what the laboratory has imported would delay its own event loop
     with tempfile.TemporaryDirectory(prefix="runloft-flood-") as name, reserved_ports(2) as ports:
-        return anyio.run(FloodRun(play, Path(name), *ports).run)
+        return anyio.run(FloodRun(play, folder or Path(name), *ports).run)
