Let other tasks run between a node's chunks and between discovery's lines

Found by looking for the same class: a node's response in one-byte chunks was parsed in one go, 500 events in one iteration in the test (10,900 in a read of 64 KiB), and a discovery that always sends was read without a yield, each empty line by a regular expression. After 16 events of a response, and after a read of discovery that didn't have to wait, other tasks run; empty lines between messages are skipped.

--- a/runloft/discovery/message_decoder.py
+++ b/runloft/discovery/message_decoder.py
@@ -42,6 +42,8 @@
 
         The end of an object is found by counting brackets, so that it is not parsed again at each line.
         """
+        if not line and not self._object_lines:
+            return []  # an empty line between messages shows that discovery is alive
         if self._object_lines and (not line.strip() or line.startswith(b'{"')):
             # Without this check all following messages would be taken as part of the incomplete one.
             raise MessageError("watch message ended before its closing bracket")
--- a/runloft/discovery/watch_call.py
+++ b/runloft/discovery/watch_call.py
@@ -39,6 +39,7 @@
         self.sock = new_client_socket()
         self.protocol = h11.Connection(h11.CLIENT, max_incomplete_event_size=MAX_MESSAGE_BYTES)
         self._silence_timer: TimerHandle | None = None
+        self._must_yield = False  # whether the last read did not have to wait for data
         self._silence: WatchSilentError | None = None  # why the call was closed while it was read
         self.last_data_at = 0  # 0 before the first data
         self.previous_data_at = 0  # time of the data before the last, 0 if there was none
@@ -77,6 +78,8 @@
         while True:
             event = self.protocol.next_event()
             if event is h11.NEED_DATA:
+                if self._must_yield:
+                    await anyio.sleep(0)
                 self.protocol.receive_data(await self._receive())
                 self.previous_data_at = self.last_data_at
                 self.last_data_at = self.clock()
@@ -94,12 +97,14 @@
 
     async def _receive(self) -> bytes:
         """Wait for data and read once; raise WatchSilentError if the call was closed for its silence."""
+        self._must_yield = True
         while True:
             self._raise_if_silent()
             with suppress(BlockingIOError):
                 return self.sock.recv(RECEIVE_BYTES)
             try:
                 await anyio.wait_readable(self.sock)
+                self._must_yield = False
             except anyio.ClosedResourceError:
                 self._raise_if_silent()
                 raise
--- a/runloft/upstream/http_connection.py
+++ b/runloft/upstream/http_connection.py
@@ -1,7 +1,9 @@
 """Upstream connections to object servers over HTTP/1.1, with buffered requests and streamed responses."""
 
+import itertools
 from functools import partial
 
+import anyio
 import h11
 
 from runloft.core.counters import NodeCloseReason
@@ -17,6 +19,7 @@
 
 RECEIVE_BUFFER_BYTES = 64 << 10
 MAX_HEAD_BYTES = 32 << 10
+EVENT_BURST = 16  # of the parser, before other tasks run
 STALL_TIMEOUT_NS = 30_000_000_000  # maximum time without received data within a response
 FIRST_SERVER_ERROR = 500
 SERVICE_UNAVAILABLE = 503
@@ -74,7 +77,7 @@
         if protocol.their_state is h11.SEND_RESPONSE and has_too_many_lines(protocol.trailing_data[0]):
             raise UpstreamProtocolError("the response's head has too many fields", self.peer.endpoint)
         try:
-            is_over = self._process_events(protocol)
+            is_over = await self._process_events(protocol)
         except h11.ProtocolError as error:
             raise UpstreamProtocolError(str(error), self.peer.endpoint) from error
         if self.stream and not is_over:
@@ -82,9 +85,19 @@
                 self.pool.post(ResponseBuffered(self.current.attempt))
             await self.stream.wait_writable()
 
-    def _process_events(self, protocol: h11.Connection) -> bool:
-        """Process the parser's events; return whether the response is complete or the connection closed."""
-        while (event := protocol.next_event()) is not h11.NEED_DATA:
+    async def _process_events(self, protocol: h11.Connection) -> bool:
+        """Process the parser's events; return whether the response is complete or the connection closed.
+
+        A node may send very many small chunks, so that other tasks run after each burst of events.
+        """
+        for count in itertools.count(1):
+            if count % EVENT_BURST == 0:
+                await anyio.sleep(0)
+                if self.closed:
+                    return True
+            event = protocol.next_event()
+            if event is h11.NEED_DATA:
+                break
             if isinstance(event, h11.Response):
                 self._response_started(event)
             elif isinstance(event, h11.Data) and self.stream:
--- a/tests/discovery/test_silence.py
+++ b/tests/discovery/test_silence.py
@@ -6,6 +6,7 @@
 import pytest
 
 from runloft.core.timers import TimerQueue
+from runloft.discovery import watch_call
 from runloft.discovery.errors import WatchSilentError
 from runloft.discovery.watch_call import SILENCE_TIMEOUT_NS, WatchCall
 from tests.support.driver import SECOND
@@ -100,3 +101,28 @@
         assert str(scene.error) == f"discovery at {host}:{port} was silent for 2.6 s"
 
     run_scene(scenario)
+
+
+def test_discovery_that_always_sends_yields_to_other_tasks(monkeypatch):
+    """Prevents a stream of lines without end from holding the event loop."""
+    reads = []
+    receive = WatchCall._receive
+
+    async def counted(call):
+        reads.append(None)
+        return await receive(call)
+
+    monkeypatch.setattr(WatchCall, "_receive", counted)
+
+    async def scenario(scene):
+        monkeypatch.setattr(watch_call, "RECEIVE_BYTES", 64)
+        scene.agent.sendall(LIST_CHUNK * 200)
+        reads.clear()
+        largest = 0
+        while len(scene.events) < 200:
+            before = len(reads)
+            await anyio.sleep(0)
+            largest = max(largest, len(reads) - before)
+        assert largest <= 2
+
+    run_scene(scenario)
--- a/tests/upstream/test_http_attempts.py
+++ b/tests/upstream/test_http_attempts.py
@@ -3,13 +3,14 @@
 from types import SimpleNamespace
 
 import anyio
+import h11
 import pytest
 
 from runloft.core.model import Dispatch, NodeUpdate
 from runloft.net.http_heads import MAX_HEAD_LINES
 from runloft.upstream.connection import Peer
 from runloft.upstream.errors import UpstreamProtocolError
-from runloft.upstream.http_connection import HttpConnection
+from runloft.upstream.http_connection import EVENT_BURST, HttpConnection
 from runloft.upstream.payloads import HttpPayload
 from tests.support.driver import SECOND
 
@@ -51,3 +52,28 @@
     else:
         anyio.run(connection.process_received)
         assert connection.stream.status == 200
+
+
+def test_a_response_of_many_small_chunks_yields_to_other_tasks(connection, monkeypatch):
+    """Prevents a node's one-byte chunks from holding the event loop for hundreds of milliseconds."""
+    connection.encode_attempt(PUT, SECOND)
+    connection.current = PUT
+    head = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
+    connection.inbox.data = bytearray(head + b"1\r\nx\r\n" * 500)
+    connection.inbox.end = len(connection.inbox.data)
+    events = []
+    next_event = h11.Connection.next_event
+    monkeypatch.setattr(h11.Connection, "next_event", lambda self: events.append(None) or next_event(self))
+
+    async def largest_burst():
+        largest = 0
+        async with anyio.create_task_group() as group:
+            group.start_soon(connection.process_received)
+            while len(events) < 500:
+                before = len(events)
+                await anyio.sleep(0)
+                largest = max(largest, len(events) - before)
+        return largest
+
+    assert anyio.run(largest_burst) <= 2 * EVENT_BURST
+    assert connection.stream.buffered_bytes == 500
