Take a turn after a pause for errors, and accept four connections in a row

Cause: pauses for errors that began together end together, and each connection then processed its burst without a turn; up to 16 accepted connections came on top of that. Fix: a turn after the pause; four accepts in a row. The new test failed before: 601 commands in one iteration.

--- a/runloft/listeners/accepting.py
+++ b/runloft/listeners/accepting.py
@@ -23,7 +23,7 @@
 
 log = structlog.get_logger()
 ACCEPT_RETRY_S = 0.02  # pause after connections could not be accepted
-ACCEPT_BURST = 16  # connections accepted in a row before other tasks run
+ACCEPT_BURST = 4  # connections accepted in a row before other tasks run
 PRESSURE_FRACTION = 1 / 3  # share of max_sockets above which idle connections are evicted
 CLIENT_FRACTION = 1 / 2  # share of max_sockets that clients may use
 CLIENT_MEMORY_FRACTION = 2 / 3  # share of the spare memory that clients' connections may use
--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -61,8 +61,9 @@
                 if self.has_disconnected():  # do not start its remaining commands
                     return
                 # Yield, so that a flood on one connection does not delay other clients.
-                seconds = slowdown_s(self.errors)
-                await (self._pause_reading(seconds) if seconds else self.listener.turns.wait())
+                if seconds := slowdown_s(self.errors):
+                    await self._pause_reading(seconds)
+                await self.listener.turns.wait()  # also after a pause, which many may end at once
             elif not self.is_closing and not await self._receive():
                 return
 
--- a/tests/listeners/test_fairness.py
+++ b/tests/listeners/test_fairness.py
@@ -5,7 +5,13 @@
 
 from runloft.listeners.objects.limits import EVENT_BURST, MAX_DISCARDED_EVENTS
 from runloft.listeners.objects.reading import RequestReader
-from runloft.listeners.resp.limits import COMMAND_BURST, MAX_ERRORS, MAX_PIPELINED, REFUSAL_BURST
+from runloft.listeners.resp.limits import (
+    COMMAND_BURST,
+    CONTENDED_COMMAND_BURST,
+    MAX_ERRORS,
+    MAX_PIPELINED,
+    REFUSAL_BURST,
+)
 from runloft.listeners.resp.pipelining import BUSY
 from runloft.listeners.resp.reading import CommandReader
 from runloft.net.buffers import SendBuffer
@@ -235,3 +241,23 @@
             sock.close()
 
     run_with_listener(RespHarness, scenario)
+
+
+def test_connections_whose_pauses_for_errors_end_at_once_share_the_bound(monkeypatch):
+    """Prevents many slowed down floods from delaying all other clients when their pauses end together."""
+    connections = 16 * MAX_COST_PER_ITERATION
+    calls = count_calls(monkeypatch, CommandReader, "next_command")
+
+    async def scenario(harness):
+        sockets = [harness.connect() for _ in range(connections)]
+        for sock in sockets:
+            sock.sendall(UNKNOWN * FLOOD_REQUESTS)
+        await harness.wait_until(lambda: len(harness.listener.paused_clients) == connections)
+        calls.clear()
+        harness.advance(260)
+        largest = await max_calls_per_iteration(calls, connections * CONTENDED_COMMAND_BURST)
+        assert largest <= 2 * MAX_COST_PER_ITERATION * COMMAND_BURST
+        for sock in sockets:
+            sock.close()
+
+    run_with_listener(RespHarness, scenario)
