--- a/runloft/lab/flooder/forms.py
+++ b/runloft/lab/flooder/forms.py
@@ -9,6 +9,7 @@
 
 BLOCK_BYTES = 4 << 20  # of prepared input, which is sent again and again
 MAX_NAMES = 50_000  # different names in a block
+FIRST_READ_ID = 1 << 60
 ERRORS_UNTIL_CLOSE = 25  # errors in a row after which a RESP2 connection is closed
 READ_ATTRIBUTES = b"c=position-read,t=basic,d=1500,volume=%016x,units=2,shard=-1,hosts=1"
 
@@ -78,17 +79,17 @@
     block: bytes
 
 
-def prepare(form: FloodForm) -> FloodInput:
-    """Return the input of a form."""
+def prepare(form: FloodForm, part: int = 0, parts: int = 1) -> FloodInput:
+    """Return the input of a form, or one of several parts of it that have no name in common."""
     opening, command = COMMANDS[form]
-    return FloodInput(opening, b"".join(_until_full(command)))
+    return FloodInput(opening, b"".join(_until_full(command, part, parts)))
 
 
-def _until_full(command: Callable[[int], bytes]) -> Iterator[bytes]:
-    """Yield commands with ever new numbers until a block is full."""
+def _until_full(command: Callable[[int], bytes], part: int, parts: int) -> Iterator[bytes]:
+    """Yield commands with ever new numbers until a part of a block is full."""
     size = 0
-    for number in itertools.count(1):
-        if size >= BLOCK_BYTES:
+    for number in itertools.count(part + 1, parts):
+        if size >= BLOCK_BYTES // parts:
             return
         text = command(number % MAX_NAMES)
         size += len(text)
@@ -111,7 +112,9 @@
 
 
 def _sound_read(number: int) -> bytes:
-    return encode_command((b"IO.IN", trace_id(number), b"%016x" % number, READ_ATTRIBUTES % number))
+    """Return a read whose id no ordinary client uses: an id that is in use is rejected."""
+    words = (b"IO.IN", trace_id(number), b"%016x" % (FIRST_READ_ID + number), READ_ATTRIBUTES % number)
+    return encode_command(words)
 
 
 def _http(method: bytes, target: bytes, fields: bytes = b"", body: bytes = b"") -> Callable[[int], bytes]:
--- a/runloft/lab/flooder/process.py
+++ b/runloft/lab/flooder/process.py
@@ -9,8 +9,9 @@
 import socket
 import sys
 import time
+from collections.abc import Sequence
 from contextlib import suppress
-from dataclasses import asdict, dataclass, field
+from dataclasses import asdict, dataclass
 
 from runloft.lab.flooder.forms import FloodForm, FloodInput, prepare
 from runloft.lab.parent import exit_with_parent
@@ -32,13 +33,21 @@
     received_bytes: int = 0
 
 
+@dataclass(frozen=True, slots=True)
+class PreparedInput:
+    """What a connection sends: ``first`` once, then ``block`` again and again."""
+
+    first: memoryview
+    block: memoryview
+
+
 @dataclass(slots=True)
 class FloodConnection:
     """One connection and the part of the input that is not sent yet."""
 
     sock: socket.socket
     unsent: memoryview
-    poll_mask: int = field(default=0)
+    block: memoryview
 
 
 def command(
@@ -53,11 +62,12 @@
 class Flooder:
     """Keeps a number of connections open, and sends on all of them."""
 
-    def __init__(self, port: int, flood_input: FloodInput, reads: bool) -> None:
+    def __init__(self, port: int, inputs: Sequence[FloodInput], reads: bool) -> None:
         self.counts = FloodCounts()
         self._port = port
-        self._first = memoryview(flood_input.opening + flood_input.block)
-        self._block = memoryview(flood_input.block)
+        self._inputs = [
+            PreparedInput(memoryview(each.opening + each.block), memoryview(each.block)) for each in inputs
+        ]
         self._reads = reads
         self._poll = select.poll()
         self._connections: dict[int, FloodConnection] = {}
@@ -84,7 +94,8 @@
             return False
         sock.setblocking(False)
         self.counts.connections += 1
-        self._connections[sock.fileno()] = FloodConnection(sock, self._first)
+        prepared = self._inputs[self.counts.connections % len(self._inputs)]
+        self._connections[sock.fileno()] = FloodConnection(sock, prepared.first, prepared.block)
         mask = select.POLLOUT | select.POLLRDHUP
         self._poll.register(sock, mask | select.POLLIN if self._reads else mask)
         return True
@@ -113,7 +124,7 @@
         with suppress(BlockingIOError):
             count = connection.sock.send(connection.unsent)
             self.counts.sent_bytes += count
-            connection.unsent = connection.unsent[count:] or self._block
+            connection.unsent = connection.unsent[count:] or connection.block
 
 
 def main() -> int:
@@ -126,7 +137,10 @@
     parser.add_argument("--no-reading", action="store_true")
     options = parser.parse_args()
     exit_with_parent()
-    flooder = Flooder(options.port, prepare(options.form), reads=not options.no_reading)
+    # Only sound requests need names of their own on each connection.
+    parts = options.connections if options.form.is_sound else 1
+    inputs = [prepare(options.form, part, parts) for part in range(parts)]
+    flooder = Flooder(options.port, inputs, reads=not options.no_reading)
     flooder.run(options.connections, options.seconds)
     print(json.dumps(asdict(flooder.counts)))
     return 0
--- a/tests/lab/flood/test_commands.py
+++ b/tests/lab/flood/test_commands.py
@@ -54,3 +54,12 @@
 def test_a_play_passes_only_with_answers_in_time_and_within_its_limits(fields, passed):
     assert has_passed(result(**fields)) is passed
     assert report_line(result(**fields)).startswith("ok" if passed else "FAIL")
+
+
+def test_parts_of_a_sound_flood_have_no_id_in_common():
+    """Prevents a flood whose requests are rejected because another connection uses their ids."""
+    parts = [prepare(FloodForm.RESP_READ, part, 6).block for part in range(6)]
+    ids = [set(part.split(b"\r\n")[6::9]) for part in parts]
+    assert all(len(each) > 4000 for each in ids)
+    assert len(set.union(*ids)) == sum(map(len, ids))
+    assert all(int(request_id, 16) >> 60 == 1 for request_id in set.union(*ids))
