Leave what follows QUIT without a response, as before

Found by reading the change again. The input is released at QUIT. The new test failed before (a BUSY behind +OK).

--- a/runloft/listeners/resp/connection.py
+++ b/runloft/listeners/resp/connection.py
@@ -157,6 +157,7 @@
         elif name == b"QUIT":
             self.is_closing = True
             self.close_reason = CloseReason.CLIENT_QUIT
+            self.reader.release()  # what follows has no response
             response.complete(b"+OK\r\n")
         else:
             self._reject(response, "unknown command")
--- a/tests/listeners/test_fairness.py
+++ b/tests/listeners/test_fairness.py
@@ -261,3 +261,15 @@
             sock.close()
 
     run_with_listener(RespHarness, scenario)
+
+
+def test_commands_behind_quit_get_no_response():
+    """Prevents refusals behind the response to QUIT, which is a connection's last one."""
+
+    async def scenario(harness):
+        sock = harness.connect()
+        sock.sendall(UNKNOWN + resp_array(b"QUIT") + UNKNOWN * FLOOD_REQUESTS)
+        assert await receive_all(sock) == UNKNOWN_ANSWER + b"+OK\r\n"
+        sock.close()
+
+    run_with_listener(RespHarness, scenario)
