Share the loop over plays, and drop kinds of work that nothing records

Found by reading the change again; behaviour stays. lab flood had copied lab crowd's loop over its plays and the parser of its numbers: both use lab/combinations.py. Whether a limit is exceeded is derived from the excess in both accounts, and a qualification counts its expected plays once.

--- a/runloft/lab/crowd/commands.py
+++ b/runloft/lab/crowd/commands.py
@@ -2,10 +2,10 @@
 
 import argparse
 import itertools
-import json
 from collections.abc import Iterator
 
 from runloft.config.tool.output import usage_error
+from runloft.lab.combinations import numbers, play_all
 from runloft.lab.crowd.forms import AnswerCounts, CrowdForm
 from runloft.lab.crowd.run import CrowdPlay, CrowdResult, run_play
 from runloft.lab.crowd.shutdown import ShutdownResult, draw_shutdown, run_shutdown
@@ -18,14 +18,7 @@
         plays = list(plays_from(options))
     except ValueError as error:
         return usage_error(str(error))
-    results = []
-    for play in plays:
-        result = run_play(play)
-        results.append(result)
-        print(report_line(result), flush=True)
-        if options.output:
-            with open(options.output, "a") as output:
-                output.write(json.dumps(result.document()) + "\n")
+    results = play_all(plays, run_play, report_line, options.output)
     return 0 if all(has_passed(result) for result in results) else 1
 
 
@@ -58,8 +51,8 @@
 def plays_from(options: argparse.Namespace) -> Iterator[CrowdPlay]:
     """Yield the plays of all combinations; raise ValueError for an invalid option."""
     forms = [CrowdForm(name) for name in options.forms.split(",") if name] or list(CrowdForm)
-    limits = itertools.product(_numbers(options.memory_mb), _numbers(options.sockets))
-    sizes = itertools.product(limits, _numbers(options.clients))
+    limits = itertools.product(numbers(options.memory_mb), numbers(options.sockets))
+    sizes = itertools.product(limits, numbers(options.clients))
     for ((memory_mb, sockets), clients), form in itertools.product(sizes, forms):
         yield CrowdPlay(
             form=form,
@@ -72,10 +65,6 @@
         )
 
 
-def _numbers(text: str) -> list[int]:
-    return [int(part) for part in text.split(",")]
-
-
 def has_passed(result: CrowdResult) -> bool:
     """Return whether a play kept the memory limit, answered each request and ended in time."""
     unanswered = result.crowd.silent + result.ordinary.silent
--- a/runloft/lab/flood/commands.py
+++ b/runloft/lab/flood/commands.py
@@ -2,11 +2,11 @@
 
 import argparse
 import itertools
-import json
 from collections.abc import Iterator
 from pathlib import Path
 
 from runloft.config.tool.output import usage_error
+from runloft.lab.combinations import numbers, play_all
 from runloft.lab.flood.run import FloodPlay, FloodResult, run_play
 from runloft.lab.flooder.forms import FloodForm
 
@@ -21,14 +21,7 @@
         plays = list(plays_from(options))
     except (KeyError, ValueError) as error:
         return usage_error(str(error))
-    results = []
-    for play in plays:
-        result = run_play(play)
-        results.append(result)
-        print(report_line(result), flush=True)
-        if options.output:
-            with open(options.output, "a") as output:
-                output.write(json.dumps(result.document()) + "\n")
+    results = play_all(plays, run_play, report_line, options.output)
     return 0 if all(map(has_passed, results)) else 1
 
 
@@ -36,7 +29,7 @@
     """Yield the plays of all combinations; raise ValueError or KeyError for an invalid option."""
     forms = [FloodForm(name) for name in options.forms.split(",") if name] or list(FloodForm)
     sizes = itertools.product(
-        _numbers(options.memory_mb), _numbers(options.sockets), _numbers(options.connections)
+        numbers(options.memory_mb), numbers(options.sockets), numbers(options.connections)
     )
     reading = [READING[name] for name in options.reading.split(",")]
     for (memory_mb, descriptors, connections), reads, form in itertools.product(sizes, reading, forms):
@@ -53,10 +46,6 @@
         )
 
 
-def _numbers(text: str) -> list[int]:
-    return [int(part) for part in text.split(",")]
-
-
 def target_ms(play: FloodPlay) -> float:
     """Return how long an ordinary client may wait in a play, in milliseconds."""
     return CLASS_TARGET_MS if play.form.is_sound or play.shares_core else UNSOUND_TARGET_MS
--- a/runloft/lab/qualify/commands.py
+++ b/runloft/lab/qualify/commands.py
@@ -65,9 +65,10 @@
     lost = _lost(reports)
     for line in lost:
         print(f"margin fallen by more than half against {options.against}: {line}")
-    print(json.dumps(_document(reports, lost, len(scenarios) * len(seeds))), flush=True)
+    expected_plays = len(scenarios) * len(seeds)
+    print(json.dumps(_document(reports, lost, expected_plays)), flush=True)
     current = reports[0]
-    is_complete = current.plays == len(scenarios) * len(seeds)
+    is_complete = current.plays == expected_plays
     return 0 if is_complete and not current.failed and not lost else 1
 
 
--- a/runloft/listeners/resp/memory.py
+++ b/runloft/listeners/resp/memory.py
@@ -10,7 +10,7 @@
 
     def is_exceeded(self) -> bool:
         """Return whether more than the limit is used."""
-        return self.used_bytes > self.max_bytes
+        return self.excess_bytes() > 0
 
     def excess_bytes(self) -> int:
         """Return by how much the use exceeds the limit; not positive if it is kept."""
--- a/runloft/net/loop_activity.py
+++ b/runloft/net/loop_activity.py
@@ -20,12 +20,7 @@
     CLIENT_COMMANDS = "client commands"
     REFUSED_COMMANDS = "refused commands"
     READ_AHEAD = "reading ahead"
-    DROPPED_INPUT = "dropped input"
-    HTTP_REQUEST = "http request"
-    HTTP_BODY = "http body"
     ACCEPT = "accepting connections"
-    EVICTION = "closing connections"
-    NODE_REPLY = "node reply"
     DISCOVERY = "discovery messages"
     MEMORY_RELIEF = "freeing memory"
 
--- a/runloft/net/process_memory.py
+++ b/runloft/net/process_memory.py
@@ -71,7 +71,7 @@
 
     def is_exceeded(self) -> bool:
         """Return whether the owners use more than the capacity."""
-        return self.used_bytes() > self.capacity_bytes
+        return self.excess_bytes() > 0
 
     def excess_bytes(self) -> int:
         """Return by how much the owners' use exceeds the capacity; not positive if it is kept."""
